--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup demo test lint format check
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+demo: setup
+	$(BIN)/currantwell demo examples/dawn_check_ins.json
+
+test: setup
+	$(BIN)/pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+check: lint test
--- /dev/null
+++ b/currantwell/__main__.py
@@ -0,0 +1,5 @@
+"""``python -m currantwell``."""
+
+from .cli import main
+
+main(prog_name="currantwell")
--- /dev/null
+++ b/currantwell/cli/__init__.py
@@ -0,0 +1,21 @@
+"""The command line, over the high-level API alone."""
+
+import click
+
+from .. import __version__
+from .demo import demo
+from .endpoint import endpoint
+from .host import host
+from .job import job
+
+__all__ = ["main"]
+
+
+@click.group()
+@click.version_option(__version__)
+def main() -> None:
+    """Dispatch sub-second tasks."""
+
+
+for _command in (demo, endpoint, host, job):
+    main.add_command(_command)
--- /dev/null
+++ b/currantwell/dispatcher.py
@@ -0,0 +1,535 @@
+"""The dispatcher: the primary's service that runs the jobs of its data centre.
+
+Invariants: nothing is sent to an endpoint, and nothing is told to a caller, before
+the records that it rests on are committed; the job table changes as records are
+put in the outbox, and whoever shows it to the outside waits for their commit.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+
+import trio
+
+from . import events
+from .answers import Answer, Refusal, TaskState
+from .clock import CalendarClock, now_s
+from .codes import ResultCode
+from .endpoint_link import EndpointLink
+from .endpoint_protocol import (
+    Announcement,
+    AnnouncementReply,
+    AttemptRef,
+    Held,
+    ResultLine,
+    Start,
+    StartBatch,
+    StartReply,
+)
+from .errors import Deposed
+from .ids import DataCentre, EndpointId, Epoch, Incarnation, JobId, job_id
+from .job_log import JobLog
+from .jobs import Job, JobTable, Task
+from .kernel import ServiceName
+from .records import (
+    AttemptEnded,
+    AttemptStarted,
+    JobAccepted,
+    JobCancelled,
+    JobClosed,
+    Record,
+)
+from .scheduler import JobRequest, PlacedTask, Scheduler, WaitingTask
+from .submission import RestartRule, Submission, digest_of
+
+__all__ = ["Dispatcher", "DispatcherLimits"]
+
+TICK_S = 0.1
+CLOCK_DRIFT = 0.01
+LEASE_REFUSED_S = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatcherLimits:
+    """Limits of a dispatcher.
+
+    Parameters
+    ----------
+    endpoint_lease_s : float
+        How long an endpoint may run on without a reply to its announcements.
+    suspect_after_s : float
+        After so long a silence an endpoint gets no new start.
+    """
+
+    endpoint_lease_s: float = 8.0
+    suspect_after_s: float = 1.5
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    """An endpoint that announced itself."""
+
+    announcement: Announcement
+    link: EndpointLink
+    heard_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    """Records in the outbox and who waits for them."""
+
+    records: list[Record]
+    committed: trio.Event
+
+
+class Dispatcher:
+    """Accepts jobs, starts their tasks and collects their results.
+
+    Parameters
+    ----------
+    data_centre : DataCentre
+        The data centre served.
+    epoch : Epoch
+        The epoch under which starts are sent; newer than that of any earlier
+        dispatcher of the data centre.
+    job_log : JobLog
+        Where records are committed.
+    scheduler : Scheduler
+        Decides.
+    calendar : CalendarClock
+        For deadlines that outlast the process.
+    limits : DispatcherLimits
+        Limits.
+    """
+
+    name = ServiceName("dispatcher")
+
+    def __init__(
+        self,
+        data_centre: DataCentre,
+        epoch: Epoch,
+        job_log: JobLog,
+        scheduler: Scheduler,
+        calendar: CalendarClock,
+        limits: DispatcherLimits | None = None,
+    ) -> None:
+        self.data_centre = data_centre
+        self.epoch = epoch
+        self.table = JobTable()
+        self.starts_sent = 0
+        self.starts_refused = 0
+        self._log = job_log
+        self._scheduler = scheduler
+        self._calendar = calendar
+        self._limits = limits or DispatcherLimits()
+        self._known: dict[EndpointId, _Known] = {}
+        self._outbox: list[_Entry] = []
+        self._placed: list[PlacedTask] = []
+        self._wake = trio.Event()
+        self._accepted: dict[JobId, trio.Event] = {}
+        self._answered: dict[JobId, trio.Event] = {}
+        self._lost: dict[tuple[EndpointId, Incarnation], float] = {}
+        self._over: set[tuple[EndpointId, Incarnation]] = set()
+        self._nursery: trio.Nursery | None = None
+        self._shutting_down = False
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Recover, then dispatch until cancelled or deposed."""
+        self._recover()
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._tick_loop)
+            task_status.started()
+            await self._pump_loop()
+
+    async def drain(self) -> None:
+        """Refuse new jobs and return once all accepted ones are answered."""
+        self._shutting_down = True
+        for answered in list(self._answered.values()):
+            await answered.wait()
+
+    # What callers ask.
+
+    async def submit(self, submission: Submission) -> Answer | Refusal:
+        """Accept a job, or find the one that has the same key.
+
+        Returns
+        -------
+        Answer or Refusal
+            The state of the job, once its acceptance is durable; or why it was
+            refused.
+        """
+        job_key = job_id(submission.team, submission.key)
+        digest = digest_of(submission)
+        job = self.table.jobs.get(job_key)
+        if job is None:
+            refusal = self._check_new(job_key, submission)
+            if refusal is not None:
+                return refusal
+            self._accept(job_key, submission, digest)
+        elif job.digest != digest:
+            return Refusal(
+                ResultCode.KEY_REUSED, "the key names a job with another body", "key"
+            )
+        await self._accepted[job_key].wait()
+        return self._answer(job_key)
+
+    async def wait(self, job: JobId, timeout_s: float) -> Answer | Refusal:
+        """Return the answer of a job, or its state once the time is up."""
+        if job not in self.table.jobs:
+            return Refusal(ResultCode.JOB_NOT_FOUND, "no such job", "key")
+        with trio.move_on_after(timeout_s):
+            await self._answered[job].wait()
+        return self._answer(job)
+
+    async def cancel(self, job: JobId) -> Answer | Refusal:
+        """Start nothing more of a job and stop what runs."""
+        if job not in self.table.jobs:
+            return Refusal(ResultCode.JOB_NOT_FOUND, "no such job", "key")
+        await self._cancel(job, ResultCode.JOB_CANCELLED)
+        return self._answer(job)
+
+    async def explain(self, job: JobId) -> list[str] | Refusal:
+        """Say why the tasks of a job stand where they stand."""
+        if job not in self.table.jobs:
+            return Refusal(ResultCode.JOB_NOT_FOUND, "no such job", "key")
+        return self._scheduler.explain(job)
+
+    async def endpoints(self) -> list[Announcement] | Refusal:
+        """Return what all known endpoints last said of themselves."""
+        return [known.announcement for known in self._known.values()]
+
+    async def announce(self, announcement: Announcement) -> AnnouncementReply | Refusal:
+        """Take in an endpoint's announcement and grant it a lease."""
+        process = (announcement.endpoint, announcement.incarnation)
+        if process in self._over:
+            return AnnouncementReply(LEASE_REFUSED_S, self.epoch)
+        known = self._known.get(announcement.endpoint)
+        if known is not None and not _same_process(known.announcement, announcement):
+            self._lose(known)
+            known = None
+        if known is None:
+            known = self._meet(announcement)
+        known.announcement = announcement
+        known.heard_s = now_s()
+        self._scheduler.endpoint_announced(announcement, now_s())
+        self._wake.set()
+        return AnnouncementReply(self._limits.endpoint_lease_s, self.epoch)
+
+    # What links tell.
+
+    async def batch_answered(
+        self, endpoint: EndpointId, batch: StartBatch, reply: StartReply
+    ) -> None:
+        """Take in which starts of a batch the endpoint refused."""
+        self.starts_refused += len(reply.refused)
+        ended = [AttemptEnded(refused.ref, refused.code) for refused in reply.refused]
+        if ended:
+            await self._end(ended, {})
+
+    async def results_arrived(
+        self,
+        endpoint: EndpointId,
+        incarnation: Incarnation,
+        results: Sequence[ResultLine],
+    ) -> None:
+        """Return once the results are durable."""
+        ended = [AttemptEnded(line.ref, line.code, line.value) for line in results]
+        await self._end(ended, {line.ref: line.run_s for line in results})
+
+    async def attempts_held(self, endpoint: EndpointId, held: Held) -> None:
+        """End the attempts that an adopted endpoint has never started."""
+        known = set(held.attempts)
+        ended = [
+            AttemptEnded(ref, ResultCode.NOT_RUN_NO_PRIMARY)
+            for ref, task in self._started_at(endpoint, held.incarnation)
+            if ref not in known and task.epoch != self.epoch
+        ]
+        if ended:
+            await self._end(ended, {})
+
+    def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
+        """Note whether an endpoint answers."""
+        self._scheduler.endpoint_reachable(endpoint, answers)
+        if answers:
+            self._wake.set()
+
+    def link_deposed(self, endpoint: EndpointId) -> None:
+        """Stop dispatching: another host has taken over."""
+        events.DEPOSED.log(epoch=self.epoch, endpoint=endpoint)
+        raise Deposed(f"{endpoint} serves a newer epoch than {self.epoch}")
+
+    # Jobs.
+
+    def _check_new(self, job: JobId, submission: Submission) -> Refusal | None:
+        if self._shutting_down:
+            return Refusal(ResultCode.NOT_RUN_SHUTTING_DOWN, "host is shutting down")
+        return self._scheduler.admit(self._request(job, submission), now_s())
+
+    def _accept(self, job: JobId, submission: Submission, digest: str) -> None:
+        unix_s = self._calendar.unix_s()
+        record = JobAccepted(
+            job, digest, submission, unix_s, unix_s + submission.deadline_s
+        )
+        self._accepted[job] = self._put([record])
+        self._answered[job] = trio.Event()
+        attempts = {index: 1 for index in range(len(submission.tasks))}
+        self._scheduler.add(self._request(job, submission), attempts, now_s())
+
+    def _request(self, job: JobId, submission: Submission) -> JobRequest:
+        held = self.table.jobs.get(job)
+        left_s = submission.deadline_s
+        if held is not None:
+            left_s = held.deadline_unix_s - self._calendar.unix_s()
+        return JobRequest(job, submission.team, submission.tasks, now_s() + left_s)
+
+    def _answer(self, job_key: JobId) -> Answer:
+        job = self.table.jobs[job_key]
+        if job.code is not None and not self._answered[job_key].is_set():
+            return Answer(job.submission.key, job.state, ResultCode.RUNNING)
+        return job.answer()
+
+    async def _cancel(self, job_key: JobId, code: ResultCode) -> None:
+        job = self.table.jobs[job_key]
+        if job.code is not None or job.cancel_code is not None:
+            return
+        self._doom(job, code)
+        await self._put([]).wait()
+
+    def _doom(self, job: Job, code: ResultCode) -> None:
+        """Start nothing more of a job, and stop what may be stopped."""
+        self._put([JobCancelled(job.id, code)])
+        self._scheduler.remove(job.id)
+        stops: dict[EndpointId, list[AttemptRef]] = {}
+        for index, task in enumerate(job.tasks):
+            stoppable = task.spec.restart is not RestartRule.NEVER
+            if task.state is TaskState.STARTED and task.endpoint and stoppable:
+                ref = AttemptRef(job.id, index, task.attempt)
+                stops.setdefault(task.endpoint, []).append(ref)
+        for endpoint, refs in stops.items():
+            if endpoint in self._known:
+                self._known[endpoint].link.send((), refs)
+        self._close_if_over(job)
+
+    def _close_if_over(self, job: Job) -> None:
+        if job.open_tasks or job.code is not None:
+            return
+        code = ResultCode.COMPLETE
+        if job.doomed:
+            code = job.cancel_code or ResultCode.JOB_FAILED
+        committed = self._put([JobClosed(job.id, code)])
+        assert self._nursery is not None
+        self._nursery.start_soon(self._show_answer, job.id, committed)
+
+    async def _show_answer(self, job: JobId, committed: trio.Event) -> None:
+        await committed.wait()
+        self._answered[job].set()
+
+    # Attempts.
+
+    async def _end(
+        self, ended: Sequence[AttemptEnded], run_s: dict[AttemptRef, float]
+    ) -> None:
+        """Take in the ends of attempts and return once they are durable."""
+        jobs: dict[JobId, Job] = {}
+        for record in ended:
+            task = self.table.task(record.ref)
+            if task is None or task.state is not TaskState.STARTED:
+                continue
+            self._put([record])
+            self._free(record, run_s.get(record.ref, 0.0))
+            jobs[record.ref.job] = self.table.jobs[record.ref.job]
+        for job in jobs.values():
+            self._after_ends(job)
+        await self._put([]).wait()
+
+    def _free(self, record: AttemptEnded, run_s: float) -> None:
+        ok: bool | None = None
+        if record.code in (ResultCode.COMPLETE, ResultCode.TASK_FAILED):
+            ok = record.code is ResultCode.COMPLETE
+        self._scheduler.ended(record.ref, ok, run_s)
+
+    def _after_ends(self, job: Job) -> None:
+        if job.cancel_code is None and job.doomed:
+            self._doom(job, ResultCode.JOB_FAILED)
+            return
+        again = {
+            index: task.attempt + 1
+            for index, task in enumerate(job.tasks)
+            if task.state is TaskState.WAITING and task.attempt > 0
+        }
+        if again:
+            self._scheduler.add(self._request(job.id, job.submission), again, now_s())
+        self._close_if_over(job)
+
+    def _started_at(
+        self, endpoint: EndpointId, incarnation: Incarnation
+    ) -> list[tuple[AttemptRef, Task]]:
+        return [
+            (AttemptRef(job.id, index, task.attempt), task)
+            for job in self.table.jobs.values()
+            if job.code is None
+            for index, task in enumerate(job.tasks)
+            if task.state is TaskState.STARTED
+            and task.endpoint == endpoint
+            and task.incarnation == incarnation
+        ]
+
+    # Endpoints.
+
+    def _meet(self, announcement: Announcement) -> _Known:
+        self._lost.pop((announcement.endpoint, announcement.incarnation), None)
+        link = EndpointLink(
+            announcement.endpoint,
+            announcement.incarnation,
+            announcement.url,
+            self.epoch,
+            self,
+        )
+        known = _Known(announcement, link, now_s())
+        self._known[announcement.endpoint] = known
+        assert self._nursery is not None
+        self._nursery.start_soon(link.run)
+        events.ENDPOINT_MET.log(
+            endpoint=announcement.endpoint, incarnation=announcement.incarnation
+        )
+        return known
+
+    def _lose(self, known: _Known) -> None:
+        """Stop using an incarnation; its attempts end when its lease has run out."""
+        said = known.announcement
+        known.link.close()
+        del self._known[said.endpoint]
+        self._scheduler.endpoint_removed(said.endpoint)
+        lease_s = self._limits.endpoint_lease_s * (1 + CLOCK_DRIFT)
+        over_s = known.heard_s + lease_s
+        self._lost[said.endpoint, said.incarnation] = over_s
+        self._over.add((said.endpoint, said.incarnation))
+        events.ENDPOINT_LOST.log(
+            endpoint=said.endpoint, incarnation=said.incarnation, over_s=over_s
+        )
+
+    # Loops.
+
+    async def _tick_loop(self) -> None:
+        while True:
+            await trio.sleep(TICK_S)
+            now = now_s()
+            lease_s = self._limits.endpoint_lease_s * (1 + CLOCK_DRIFT)
+            for known in list(self._known.values()):
+                silent_s = now - known.heard_s
+                if silent_s > self._limits.suspect_after_s:
+                    self._scheduler.endpoint_reachable(
+                        known.announcement.endpoint, False
+                    )
+                if silent_s > lease_s:
+                    self._lose(known)
+            await self._end_lost(now)
+            for job in self._scheduler.expired(now):
+                await self._cancel(job, ResultCode.DEADLINE_PASSED)
+
+    async def _end_lost(self, now: float) -> None:
+        over = [lost for lost, over_s in self._lost.items() if over_s <= now]
+        for endpoint, incarnation in over:
+            del self._lost[endpoint, incarnation]
+            self._over.add((endpoint, incarnation))
+            ended = [
+                AttemptEnded(ref, ResultCode.UNKNOWN_ATTEMPT_LOST)
+                for ref, _ in self._started_at(endpoint, incarnation)
+            ]
+            await self._end(ended, {})
+
+    async def _pump_loop(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            placed = self._scheduler.plan(now_s())
+            if placed:
+                self._put([self._intent(item) for item in placed])
+            entries, self._outbox = self._outbox, []
+            records = [record for entry in entries for record in entry.records]
+            if records:
+                await self._log.commit(records)
+            for entry in entries:
+                entry.committed.set()
+            self._send(placed)
+
+    def _intent(self, placed: PlacedTask) -> AttemptStarted:
+        return AttemptStarted(
+            placed.ref, self.epoch, placed.endpoint, placed.incarnation
+        )
+
+    def _send(self, placed: Sequence[PlacedTask]) -> None:
+        starts: dict[EndpointId, list[Start]] = {}
+        for item in placed:
+            starts.setdefault(item.endpoint, []).append(_start(item))
+        for endpoint, items in starts.items():
+            if endpoint in self._known:
+                self.starts_sent += len(items)
+                self._known[endpoint].link.send(items)
+
+    def _put(self, records: list[Record]) -> trio.Event:
+        """Apply records and put them in the outbox; the event tells of the commit."""
+        self.table.apply_all(records)
+        entry = _Entry(records, trio.Event())
+        self._outbox.append(entry)
+        self._wake.set()
+        return entry.committed
+
+    def _recover(self) -> None:
+        self.table.apply_all(self._log.recover())
+        now = now_s()
+        for job in self.table.jobs.values():
+            self._accepted[job.id] = _set_event()
+            self._answered[job.id] = _set_event() if job.code else trio.Event()
+            if job.code is not None:
+                continue
+            self._requeue(job, now)
+
+    def _requeue(self, job: Job, now: float) -> None:
+        request = self._request(job.id, job.submission)
+        attempts = {
+            index: task.attempt + 1
+            for index, task in enumerate(job.tasks)
+            if task.state is TaskState.WAITING
+        }
+        self._scheduler.add(request, attempts, now)
+        for index, task in enumerate(job.tasks):
+            if task.state is not TaskState.STARTED or task.endpoint is None:
+                continue
+            ref = AttemptRef(job.id, index, task.attempt)
+            held = WaitingTask(
+                job.id,
+                request.team,
+                index,
+                task.attempt,
+                task.spec,
+                request.deadline_s,
+                now,
+            )
+            self._scheduler.hold(ref, task.endpoint, held)
+            if task.incarnation is not None:
+                lease_s = self._limits.endpoint_lease_s * (1 + CLOCK_DRIFT)
+                self._lost[task.endpoint, task.incarnation] = now + lease_s
+
+
+def _same_process(old: Announcement, new: Announcement) -> bool:
+    return old.incarnation == new.incarnation and old.url == new.url
+
+
+def _set_event() -> trio.Event:
+    event = trio.Event()
+    event.set()
+    return event
+
+
+def _start(placed: PlacedTask) -> Start:
+    task = placed.task
+    return Start(
+        placed.ref,
+        task.spec.kind,
+        task.spec.payload,
+        max(0.0, task.deadline_s - now_s()),
+        task.spec.processors,
+        task.spec.memory_mb,
+        task.spec.accelerators,
+    )
--- /dev/null
+++ b/currantwell/emulator.py
@@ -0,0 +1,436 @@
+"""An endpoint emulator, built from docs/ENDPOINTS.md, with faults on demand.
+
+It runs tasks by sleeping. Its faults are set by settings or while it runs, at
+``POST /v1/faults``.
+"""
+
+import collections
+import dataclasses
+import random
+import uuid
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgspec
+import trio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from .clock import now_s
+from .codes import ResultCode
+from .endpoint_protocol import (
+    Adopt,
+    Announcement,
+    AnnouncementReply,
+    AttemptRef,
+    Beat,
+    Held,
+    RefusedStart,
+    ResultLine,
+    Start,
+    StartBatch,
+    StartReply,
+)
+from .errors import EndpointUnreachable
+from .http_client import HttpClient
+from .http_server import HttpServer, bind
+from .ids import DataCentre, EndpointId, Epoch, Incarnation, Rack
+from .kernel import Kernel, ServiceName
+
+__all__ = ["EmulatedEndpoint", "EmulatorSettings", "Faults", "run_emulator"]
+
+ANNOUNCE_INTERVAL_S = 0.5
+BEAT_INTERVAL_S = 0.5
+STALE_EPOCH_STATUS = 409
+STALE_BATCH_STATUS = 410
+NO_RACK = Rack("")
+_json = msgspec.json.Encoder()
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """How the emulator misbehaves.
+
+    Parameters
+    ----------
+    speed : float
+        Divides run times.
+    fail_all : bool
+        Fail every task at once.
+    refuse_all : bool
+        Refuse every start.
+    straggle_share : float
+        Share of tasks that run `straggle_factor` times as long.
+    straggle_factor : float
+        How much longer.
+    result_delay_s : float
+        How long results are held back.
+    duplicate_results : bool
+        Send every result twice.
+    silent : bool
+        Answer nothing and announce nothing.
+    draining : bool
+        Ask for no new starts.
+    """
+
+    speed: float = 1.0
+    fail_all: bool = False
+    refuse_all: bool = False
+    straggle_share: float = 0.0
+    straggle_factor: float = 10.0
+    result_delay_s: float = 0.0
+    duplicate_results: bool = False
+    silent: bool = False
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EmulatorSettings:
+    """Settings of an emulated endpoint."""
+
+    endpoint: EndpointId
+    data_centre: DataCentre
+    entry_urls: tuple[str, ...]
+    rack: Rack = NO_RACK
+    address: str = "127.0.0.1"
+    port: int = 0
+    slots: int = 8
+    queue: int = 0
+    processors: float = 16.0
+    memory_mb: int = 65_536
+    accelerators: int = 0
+    seed: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    """An attempt that the endpoint knows."""
+
+    start: Start
+    received_s: float
+    scope: trio.CancelScope = dataclasses.field(default_factory=trio.CancelScope)
+    running: bool = False
+    ended: bool = False
+
+
+class EmulatedEndpoint:
+    """The endpoint's side of the protocol.
+
+    Parameters
+    ----------
+    settings : EmulatorSettings
+        What it claims to be.
+    faults : Faults or None
+        How it misbehaves; may be changed while it runs.
+    """
+
+    name = ServiceName("emulator")
+
+    def __init__(
+        self, settings: EmulatorSettings, faults: Faults | None = None
+    ) -> None:
+        self.faults = faults or Faults()
+        self.started: collections.Counter[tuple[str, int]] = collections.Counter()
+        self.url = ""
+        self._settings = settings
+        self._random = random.Random(settings.seed)
+        self._nursery: trio.Nursery | None = None
+        self._epoch = Epoch(0)
+        self._reset()
+
+    def _reset(self) -> None:
+        self._incarnation = Incarnation(uuid.uuid4().hex)
+        self._attempts: dict[AttemptRef, _Attempt] = {}
+        self._queue: collections.deque[_Attempt] = collections.deque()
+        self._running = 0
+        self._results: list[ResultLine] = []
+        self._next_seq = 1
+        self._last_batch = 0
+        self._last_reply: bytes = b""
+        self._news = trio.Event()
+        self._lease_end_s: float | None = None
+
+    def app(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/v1/adopt", self.post_adopt, methods=["POST"]),
+                Route("/v1/starts", self.post_starts, methods=["POST"]),
+                Route("/v1/results", self.get_results, methods=["GET"]),
+                Route("/v1/faults", self.post_faults, methods=["POST"]),
+                Route("/v1/started", self.get_started, methods=["GET"]),
+            ]
+        )
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Announce and run tasks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for url in self._settings.entry_urls:
+                nursery.start_soon(self._announce_loop, HttpClient(url))
+            nursery.start_soon(self._lease_loop)
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Return once all held attempts have ended."""
+        self.faults.draining = True
+        while any(not attempt.ended for attempt in self._attempts.values()):
+            await trio.sleep(BEAT_INTERVAL_S)
+
+    # Requests of hosts.
+
+    async def post_adopt(self, request: Request) -> Response:
+        """Take a new primary and tell it what is held."""
+        adopt = msgspec.json.decode(await request.body(), type=Adopt)
+        await self._freeze()
+        if adopt.epoch < self._epoch:
+            return Response(status_code=STALE_EPOCH_STATUS)
+        self._take_epoch(adopt.epoch)
+        held = Held(self._incarnation, self._epoch, tuple(self._attempts))
+        return _reply(held)
+
+    async def post_starts(self, request: Request) -> Response:
+        """Start and stop attempts."""
+        batch = msgspec.json.decode(await request.body(), type=StartBatch)
+        await self._freeze()
+        if batch.epoch < self._epoch:
+            return Response(status_code=STALE_EPOCH_STATUS)
+        self._take_epoch(batch.epoch)
+        if batch.batch < self._last_batch:
+            return Response(status_code=STALE_BATCH_STATUS)
+        if batch.batch > self._last_batch:
+            self._forget(batch.acked_seq)
+            self._last_reply = _json.encode(self._carry_out(batch))
+            self._last_batch = batch.batch
+        return Response(self._last_reply, media_type="application/json")
+
+    async def get_results(self, request: Request) -> Response:
+        """Stream results after a number, and beats."""
+        epoch = Epoch(int(request.query_params["epoch"]))
+        after = int(request.query_params["after"])
+        await self._freeze()
+        if epoch < self._epoch:
+            return Response(status_code=STALE_EPOCH_STATUS)
+        self._take_epoch(epoch)
+        return StreamingResponse(self._stream(epoch, after))
+
+    async def post_faults(self, request: Request) -> Response:
+        """Change the faults."""
+        self.faults = msgspec.json.decode(await request.body(), type=Faults)
+        return _reply(self.faults)
+
+    async def get_started(self, request: Request) -> Response:
+        """Return how often each task was really started."""
+        counts = [[job, task, n] for (job, task), n in self.started.items()]
+        return _reply(counts)
+
+    # What it does with them.
+
+    def _take_epoch(self, epoch: Epoch) -> None:
+        if epoch > self._epoch:
+            self._epoch = epoch
+            self._last_batch = 0
+            self._news.set()
+            self._news = trio.Event()
+
+    def _forget(self, acked_seq: int) -> None:
+        for line in self._results:
+            if line.seq <= acked_seq:
+                self._attempts.pop(line.ref, None)
+        self._results = [line for line in self._results if line.seq > acked_seq]
+
+    def _carry_out(self, batch: StartBatch) -> StartReply:
+        refused = [
+            RefusedStart(start.ref, ResultCode.NOT_RUN_OVERLOADED)
+            for start in batch.starts
+            if not self._take(start)
+        ]
+        for ref in batch.stops:
+            self._stop(ref)
+        return StartReply(self._incarnation, self._epoch, tuple(refused))
+
+    def _take(self, start: Start) -> bool:
+        if start.ref in self._attempts:
+            return True
+        held = self._running + len(self._queue)
+        full = held >= self._settings.slots + self._settings.queue
+        if full or self.faults.refuse_all or self.faults.draining:
+            return False
+        attempt = _Attempt(start, now_s())
+        self._attempts[start.ref] = attempt
+        self._queue.append(attempt)
+        self._fill_slots()
+        return True
+
+    def _stop(self, ref: AttemptRef) -> None:
+        attempt = self._attempts.get(ref)
+        if attempt is None or attempt.ended:
+            return
+        if attempt.running:
+            attempt.scope.cancel()
+        else:
+            self._queue.remove(attempt)
+            self._end(attempt, ResultCode.NOT_RUN_CANCELLED, None, 0.0)
+
+    def _fill_slots(self) -> None:
+        assert self._nursery is not None
+        while self._queue and self._running < self._settings.slots:
+            attempt = self._queue.popleft()
+            if now_s() - attempt.received_s > attempt.start.limit_s:
+                self._end(attempt, ResultCode.NOT_RUN_DEADLINE, None, 0.0)
+                continue
+            attempt.running = True
+            self._running += 1
+            self.started[attempt.start.ref.job, attempt.start.ref.task] += 1
+            self._nursery.start_soon(self._run, attempt, self._incarnation)
+
+    async def _run(self, attempt: _Attempt, incarnation: Incarnation) -> None:
+        begun_s = now_s()
+        code, value = ResultCode.TASK_STOPPED, "stopped"
+        with attempt.scope:
+            code, value = await self._work(attempt.start)
+        if incarnation != self._incarnation:
+            return
+        self._running -= 1
+        self._end(attempt, code, value, begun_s)
+        self._fill_slots()
+
+    async def _work(self, start: Start) -> tuple[ResultCode, Any]:
+        payload = start.payload if isinstance(start.payload, dict) else {}
+        if self.faults.fail_all:
+            return ResultCode.TASK_FAILED, "the endpoint fails every task"
+        run_s = float(payload.get("sleep_s", 0.0)) / self.faults.speed
+        if self._random.random() < self.faults.straggle_share:
+            run_s *= self.faults.straggle_factor
+        await trio.sleep(run_s)
+        if payload.get("fail"):
+            return ResultCode.TASK_FAILED, str(payload["fail"])
+        return ResultCode.COMPLETE, payload.get("value")
+
+    def _end(
+        self, attempt: _Attempt, code: ResultCode, value: Any, begun_s: float
+    ) -> None:
+        attempt.ended = True
+        now = now_s()
+        run_s = now - begun_s if attempt.running else 0.0
+        queue_s = (begun_s if attempt.running else now) - attempt.received_s
+        line = ResultLine(
+            self._next_seq, attempt.start.ref, code, value, run_s, queue_s
+        )
+        self._next_seq += 1
+        self._results.append(line)
+        self._news.set()
+        self._news = trio.Event()
+
+    async def _stream(self, epoch: Epoch, after: int) -> AsyncIterator[bytes]:
+        yield self._line(Beat(self._incarnation, self._running))
+        while epoch == self._epoch:
+            await self._freeze()
+            news = self._news
+            lines = [line for line in self._results if line.seq > after]
+            if lines:
+                await trio.sleep(self.faults.result_delay_s)
+                copies = 2 if self.faults.duplicate_results else 1
+                yield b"".join(self._line(line) for line in lines * copies)
+                after = lines[-1].seq
+                continue
+            with trio.move_on_after(BEAT_INTERVAL_S) as scope:
+                await news.wait()
+            if scope.cancelled_caught:
+                yield self._line(Beat(self._incarnation, self._running))
+
+    def _line(self, line: ResultLine | Beat) -> bytes:
+        return _json.encode(line) + b"\n"
+
+    async def _freeze(self) -> None:
+        while self.faults.silent:
+            await trio.sleep(BEAT_INTERVAL_S)
+
+    # Its lease.
+
+    async def _announce_loop(self, client: HttpClient) -> None:
+        while True:
+            await self._freeze()
+            sent_s, incarnation = now_s(), self._incarnation
+            body = _json.encode(self._announcement())
+            try:
+                reply = await client.request("POST", "/v1/endpoints", body, 1.0)
+            except EndpointUnreachable:
+                reply = None
+            if reply is not None and reply.status == 200:
+                granted = msgspec.json.decode(reply.body, type=AnnouncementReply)
+                self._take_lease(granted, sent_s, incarnation)
+            await trio.sleep(ANNOUNCE_INTERVAL_S)
+
+    def _announcement(self) -> Announcement:
+        own = self._settings
+        return Announcement(
+            own.endpoint,
+            self._incarnation,
+            self.url,
+            own.data_centre,
+            own.rack,
+            own.slots,
+            own.queue,
+            own.processors,
+            own.memory_mb,
+            own.accelerators,
+            self._running,
+            self.faults.draining,
+        )
+
+    def _take_lease(
+        self, granted: AnnouncementReply, sent_s: float, incarnation: Incarnation
+    ) -> None:
+        if incarnation != self._incarnation or granted.epoch < self._epoch:
+            return
+        if granted.lease_s <= 0:
+            self._abandon()
+            return
+        end_s = sent_s + granted.lease_s
+        self._lease_end_s = max(end_s, self._lease_end_s or end_s)
+
+    async def _lease_loop(self) -> None:
+        while True:
+            await trio.sleep(BEAT_INTERVAL_S)
+            if self._lease_end_s is not None and now_s() > self._lease_end_s:
+                self._abandon()
+
+    def _abandon(self) -> None:
+        """Stop everything and go on as a new incarnation."""
+        for attempt in self._attempts.values():
+            attempt.scope.cancel()
+        self._news.set()
+        self._reset()
+
+
+def _reply(value: Any) -> Response:
+    return Response(_json.encode(value), media_type="application/json")
+
+
+async def run_emulator(
+    settings: EmulatorSettings,
+    faults: Faults | None = None,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run an emulated endpoint until cancelled.
+
+    Parameters
+    ----------
+    settings : EmulatorSettings
+        What it claims to be.
+    faults : Faults or None
+        How it misbehaves.
+    task_status : trio.TaskStatus
+        Told the endpoint's URL once it serves.
+    """
+    emulator = EmulatedEndpoint(settings, faults)
+    server = HttpServer(emulator.app(), bind(settings.address, settings.port))
+    emulator.url = f"http://{server.address[0]}:{server.address[1]}"
+    kernel = Kernel()
+    kernel.register(emulator)
+    kernel.register(server)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(kernel.run)
+        task_status.started(emulator.url)
--- /dev/null
+++ b/currantwell/endpoint_protocol.py
@@ -0,0 +1,217 @@
+"""Messages between hosts and endpoints, as written down in docs/ENDPOINTS.md."""
+
+from typing import Any
+
+import msgspec
+
+from .codes import ResultCode
+from .ids import DataCentre, EndpointId, Epoch, Incarnation, JobId, Rack
+
+__all__ = [
+    "Adopt",
+    "Announcement",
+    "AnnouncementReply",
+    "AttemptRef",
+    "Beat",
+    "Held",
+    "RefusedStart",
+    "ResultLine",
+    "Start",
+    "StartBatch",
+    "StartReply",
+    "StreamLine",
+]
+
+
+class AttemptRef(msgspec.Struct, frozen=True, order=True):
+    """Names one attempt at one task."""
+
+    job: JobId
+    task: int
+    attempt: int
+
+
+class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What an endpoint tells its data centre, again and again, to stay known.
+
+    Parameters
+    ----------
+    endpoint : str
+        Id of the endpoint, the same over restarts.
+    incarnation : str
+        New at each start of the endpoint's process.
+    url : str
+        Where it serves, by IP number, ``http://127.0.0.1:9000``.
+    data_centre, rack : str
+        Where it stands.
+    slots : int
+        Tasks it runs at the same time.
+    queue : int
+        Starts it accepts beyond its slots.
+    processors : float
+        Processor cores.
+    memory_mb : int
+        Memory.
+    accelerators : int
+        Accelerators.
+    running : int
+        Tasks it runs now.
+    draining : bool
+        Whether it wants no new start.
+    used_processors : float
+        Processor cores in use, as last measured; lags.
+    """
+
+    endpoint: EndpointId
+    incarnation: Incarnation
+    url: str
+    data_centre: DataCentre
+    rack: Rack = Rack("")
+    slots: int = 8
+    queue: int = 0
+    processors: float = 16.0
+    memory_mb: int = 65_536
+    accelerators: int = 0
+    running: int = 0
+    draining: bool = False
+    used_processors: float = 0.0
+
+
+class AnnouncementReply(msgspec.Struct, frozen=True):
+    """What the primary grants to an endpoint that announced itself.
+
+    Parameters
+    ----------
+    lease_s : float
+        How long after sending the announcement the endpoint may go on running
+        tasks without another reply. 0 says that this incarnation is over: the
+        endpoint stops all it runs and announces itself under a new one.
+    epoch : int
+        The epoch of the primary that granted the lease.
+    """
+
+    lease_s: float
+    epoch: Epoch
+
+
+class Start(msgspec.Struct, frozen=True):
+    """A task to start.
+
+    Parameters
+    ----------
+    ref : AttemptRef
+        The attempt; a second start with the same ref has no effect.
+    kind : str
+        Name of the work.
+    payload : object
+        JSON value from the caller.
+    limit_s : float
+        Seconds from receipt after which it must not be started any more.
+    processors, memory_mb, accelerators
+        What the task needs.
+    """
+
+    ref: AttemptRef
+    kind: str
+    payload: Any
+    limit_s: float
+    processors: float = 1.0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
+class StartBatch(msgspec.Struct, frozen=True):
+    """Starts and stops for one endpoint, in one request.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the primary; an endpoint that knows a newer one refuses all.
+    starts : tuple of Start
+        Tasks to start.
+    stops : tuple of AttemptRef
+        Attempts to stop.
+    acked_seq : int
+        Results up to this number are durable at the host and may be dropped.
+    batch : int
+        Counts up by one with each new batch of an epoch. An endpoint carries out a
+        batch once: it answers the latest number again with the same reply, and
+        refuses older numbers.
+    """
+
+    epoch: Epoch
+    batch: int
+    starts: tuple[Start, ...] = ()
+    stops: tuple[AttemptRef, ...] = ()
+    acked_seq: int = 0
+
+
+class RefusedStart(msgspec.Struct, frozen=True):
+    """A start that was not carried out and never will be."""
+
+    ref: AttemptRef
+    code: ResultCode
+
+
+class StartReply(msgspec.Struct, frozen=True):
+    """What became of a batch; every start that is not refused was taken."""
+
+    incarnation: Incarnation
+    epoch: Epoch
+    refused: tuple[RefusedStart, ...] = ()
+
+
+class Adopt(msgspec.Struct, frozen=True):
+    """A new primary taking over an endpoint."""
+
+    epoch: Epoch
+
+
+class Held(msgspec.Struct, frozen=True):
+    """All attempts that an endpoint knows and whose end has not been acknowledged.
+
+    An attempt that is not among them has not been started by the endpoint and, as
+    it refuses starts of older epochs from now on, never will be.
+    """
+
+    incarnation: Incarnation
+    epoch: Epoch
+    attempts: tuple[AttemptRef, ...] = ()
+
+
+class ResultLine(msgspec.Struct, frozen=True, tag="result"):
+    """The end of one attempt.
+
+    Parameters
+    ----------
+    seq : int
+        Counts up by one in each incarnation.
+    ref : AttemptRef
+        The attempt.
+    code : ResultCode
+        ``COMPLETE``, ``TASK_FAILED`` or a not-run code for one stopped or
+        dropped before its start.
+    value : object
+        JSON value of a complete task, or the reason of a failure.
+    run_s : float
+        Time from start to end.
+    queue_s : float
+        Time spent waiting at the endpoint.
+    """
+
+    seq: int
+    ref: AttemptRef
+    code: ResultCode
+    value: Any = None
+    run_s: float = 0.0
+    queue_s: float = 0.0
+
+
+class Beat(msgspec.Struct, frozen=True, tag="beat"):
+    """A sign of life on the result stream."""
+
+    incarnation: Incarnation
+    running: int
+
+
+StreamLine = ResultLine | Beat
--- /dev/null
+++ b/currantwell/errors.py
@@ -0,0 +1,82 @@
+"""Every exception of the package."""
+
+__all__ = [
+    "AgreementLost",
+    "CurrantwellError",
+    "Deposed",
+    "EndpointUnreachable",
+    "InvalidKey",
+    "InvalidRequest",
+    "JournalDamaged",
+    "PeerUnreachable",
+    "ServiceMissing",
+    "SettingsInvalid",
+    "StorageFailed",
+]
+
+
+class CurrantwellError(Exception):
+    """Base of all errors of the package."""
+
+
+class InvalidRequest(CurrantwellError):
+    """A request that a caller has to mend.
+
+    Parameters
+    ----------
+    field : str
+        The field at fault.
+    reason : str
+        What is wrong with it.
+    """
+
+    def __init__(self, field: str, reason: str) -> None:
+        super().__init__(f"{field}: {reason}")
+        self.field = field
+        self.reason = reason
+
+
+class InvalidKey(InvalidRequest):
+    """A key or name that is malformed."""
+
+
+class SettingsInvalid(CurrantwellError):
+    """Settings that can't be used.
+
+    Parameters
+    ----------
+    problems : list of str
+        Everything that is wrong, one line each.
+    """
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("\n".join(problems))
+        self.problems = problems
+
+
+class ServiceMissing(CurrantwellError):
+    """A service that no one registered under the name asked for."""
+
+
+class StorageFailed(CurrantwellError):
+    """A write or sync that the disk refused."""
+
+
+class JournalDamaged(CurrantwellError):
+    """A journal with a bad record before its tail."""
+
+
+class PeerUnreachable(CurrantwellError):
+    """A host that did not answer in time."""
+
+
+class EndpointUnreachable(CurrantwellError):
+    """An endpoint that did not answer in time."""
+
+
+class Deposed(CurrantwellError):
+    """A host that acts under a view which is no longer the newest."""
+
+
+class AgreementLost(CurrantwellError):
+    """A change that no majority of hosts has confirmed in time."""
--- /dev/null
+++ b/currantwell/events.py
@@ -0,0 +1,83 @@
+"""Numbered log events, written as one line of JSON each through `absl.logging`."""
+
+import dataclasses
+import enum
+import json
+from typing import Any
+
+from absl import logging
+
+__all__ = ["Event", "Level", "catalogue"]
+
+
+class Level(enum.Enum):
+    """How much an event matters."""
+
+    INFO = logging.INFO
+    WARNING = logging.WARNING
+    ERROR = logging.ERROR
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """A kind of log event.
+
+    Parameters
+    ----------
+    number : int
+        Its number, never reused.
+    name : str
+        Its name.
+    level : Level
+        How much it matters.
+    meaning : str
+        What it tells an operator.
+    """
+
+    number: int
+    name: str
+    level: Level
+    meaning: str
+
+    def log(self, **fields: Any) -> None:
+        """Write the event with its fields; payloads and secrets have no place here."""
+        line = {"event": self.number, "name": self.name, **fields}
+        logging.log(self.level.value, "%s", json.dumps(line, default=str))
+
+
+_CATALOGUE: dict[int, Event] = {}
+
+
+def _event(number: int, name: str, level: Level, meaning: str) -> Event:
+    event = Event(number, name, level, meaning)
+    if number in _CATALOGUE:
+        raise ValueError(f"event number {number} is taken")
+    _CATALOGUE[number] = event
+    return event
+
+
+def catalogue() -> list[Event]:
+    """Return all events, by number."""
+    return [_CATALOGUE[number] for number in sorted(_CATALOGUE)]
+
+
+HOST_STARTED = _event(100, "host_started", Level.INFO, "The host serves.")
+HOST_DRAINING = _event(
+    101, "host_draining", Level.INFO, "The host takes no new work and will stop."
+)
+HOST_STOPPED = _event(
+    102, "host_stopped", Level.INFO, "The host has stopped; drained says how."
+)
+ENDPOINT_MET = _event(200, "endpoint_met", Level.INFO, "An endpoint announced itself.")
+ENDPOINT_LOST = _event(
+    201,
+    "endpoint_lost",
+    Level.WARNING,
+    "An endpoint is not used any more; its attempts are over at over_s.",
+)
+DEPOSED = _event(
+    300, "deposed", Level.WARNING, "Another host has taken over this data centre."
+)
+STORAGE_FAILED = _event(
+    400, "storage_failed", Level.ERROR, "A disk refused; the host stops."
+)
--- /dev/null
+++ b/currantwell/http_client.py
@@ -0,0 +1,103 @@
+"""JSON over HTTP with deadlines, by `httpcore`."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import httpcore
+import trio
+
+from .errors import EndpointUnreachable
+
+__all__ = ["HttpClient", "HttpReply"]
+
+KEEPALIVE_S = 30.0
+JSON_HEADERS = [(b"content-type", b"application/json")]
+_NETWORK_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.ConnectionNotAvailable,
+    OSError,
+)
+
+
+class HttpReply:
+    """A status and a whole body."""
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self.status = status
+        self.body = body
+
+
+class HttpClient:
+    """A pool of connections to one server.
+
+    A request that runs out of time closes its connection, so that the next one
+    opens another: a connection may have gone silent for good while new ones work.
+
+    Parameters
+    ----------
+    url : str
+        ``http://<IP number>:<port>``.
+    max_connections : int
+        Most connections at the same time.
+    token : str or None
+        Sent as a bearer token.
+    """
+
+    def __init__(
+        self, url: str, max_connections: int = 8, token: str | None = None
+    ) -> None:
+        self._url = url.rstrip("/")
+        self._headers = list(JSON_HEADERS)
+        if token is not None:
+            self._headers.append((b"authorization", b"Bearer " + token.encode()))
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections, keepalive_expiry=KEEPALIVE_S
+        )
+
+    async def request(
+        self, method: str, path: str, body: bytes = b"", timeout_s: float = 5.0
+    ) -> HttpReply:
+        """Send a request and return the whole reply.
+
+        Raises
+        ------
+        EndpointUnreachable
+            If no whole reply came in time.
+        """
+        try:
+            with trio.fail_after(timeout_s):
+                reply = await self._pool.request(
+                    method,
+                    self._url + path,
+                    headers=self._headers,
+                    content=body or None,
+                )
+        except (trio.TooSlowError, *_NETWORK_ERRORS) as error:
+            raise EndpointUnreachable(f"{self._url}: {error!r}") from error
+        return HttpReply(reply.status, reply.content)
+
+    @asynccontextmanager
+    async def stream(self, path: str) -> AsyncIterator[AsyncIterator[bytes]]:
+        """Open a long-lived GET and yield an iterator over pieces of its body.
+
+        Raises
+        ------
+        EndpointUnreachable
+            If it can't be opened or breaks.
+        """
+        try:
+            async with self._pool.stream(
+                "GET", self._url + path, headers=self._headers
+            ) as reply:
+                if reply.status != 200:
+                    await reply.aread()
+                    raise EndpointUnreachable(f"{self._url}: status {reply.status}")
+                yield reply.aiter_stream()
+        except _NETWORK_ERRORS as error:
+            raise EndpointUnreachable(f"{self._url}: {error!r}") from error
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
--- /dev/null
+++ b/currantwell/http_server.py
@@ -0,0 +1,77 @@
+"""Serves an ASGI application by `hypercorn` on the runtime's loop."""
+
+import socket
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from starlette.types import ASGIApp
+
+from .kernel import ServiceName
+
+__all__ = ["HttpServer", "bind"]
+
+KEEP_ALIVE_S = 60.0
+READ_TIMEOUT_S = 30
+BACKLOG = 256
+
+
+def bind(address: str, port: int) -> socket.socket:
+    """Return a bound socket; port 0 lets the kernel pick one."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((address, port))
+    return listener
+
+
+class HttpServer:
+    """The service that listens for HTTP.
+
+    Parameters
+    ----------
+    app : ASGIApp
+        What to serve.
+    listener : socket.socket
+        A bound socket.
+    graceful_s : float
+        How long requests in progress may take after `drain`.
+    """
+
+    name = ServiceName("http")
+
+    def __init__(
+        self, app: ASGIApp, listener: socket.socket, graceful_s: float = 30.0
+    ) -> None:
+        self._app = app
+        self.address: tuple[str, int] = listener.getsockname()
+        self._stop = trio.Event()
+        self._stopped = trio.Event()
+        self._config = Config()
+        self._config.bind = [f"fd://{listener.detach()}"]
+        self._config.backlog = BACKLOG
+        self._config.graceful_timeout = graceful_s
+        self._config.keep_alive_timeout = KEEP_ALIVE_S
+        self._config.read_timeout = READ_TIMEOUT_S
+        self._config.accesslog = None
+        self._config.errorlog = None
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Serve until drained or cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._serve)
+            task_status.started()
+        self._stopped.set()
+
+    async def drain(self) -> None:
+        """Stop listening and return once all requests are answered."""
+        self._stop.set()
+        await self._stopped.wait()
+
+    async def _serve(self, task_status: trio.TaskStatus[list[str]]) -> None:
+        await serve(
+            self._app,  # type: ignore[arg-type]
+            self._config,
+            shutdown_trigger=self._stop.wait,
+            task_status=task_status,
+            mode="asgi",
+        )
--- /dev/null
+++ b/currantwell/ids.py
@@ -0,0 +1,90 @@
+"""Identifiers and small value types shared by every module."""
+
+import uuid
+from typing import NewType
+
+from .errors import InvalidKey
+
+__all__ = [
+    "ChangeId",
+    "DataCentre",
+    "EndpointId",
+    "Epoch",
+    "HostId",
+    "Incarnation",
+    "JobId",
+    "JobKey",
+    "Rack",
+    "Team",
+    "check_name",
+    "home_of",
+    "job_id",
+    "new_key",
+]
+
+DataCentre = NewType("DataCentre", str)
+Rack = NewType("Rack", str)
+HostId = NewType("HostId", str)
+EndpointId = NewType("EndpointId", str)
+Incarnation = NewType("Incarnation", str)
+Team = NewType("Team", str)
+JobKey = NewType("JobKey", str)
+JobId = NewType("JobId", str)
+ChangeId = NewType("ChangeId", str)
+Epoch = NewType("Epoch", int)
+
+KEY_SEPARATOR = ":"
+MAX_NAME_CHARS = 120
+_NAME_PUNCTUATION = frozenset("-_.")
+
+
+def check_name(field: str, value: str) -> str:
+    """Check that a name is short and made of letters, digits, ``-``, ``_``, ``.``.
+
+    Parameters
+    ----------
+    field : str
+        What the name is of, for the error.
+    value : str
+        The name.
+
+    Returns
+    -------
+    str
+        The name, unchanged.
+
+    Raises
+    ------
+    InvalidKey
+        If the name is empty, too long or holds another character.
+    """
+    fits = 0 < len(value) <= MAX_NAME_CHARS and value.isascii()
+    if not fits or not all(c.isalnum() or c in _NAME_PUNCTUATION for c in value):
+        raise InvalidKey(field, f"{value[:MAX_NAME_CHARS]!r} is not a valid name")
+    return value
+
+
+def new_key(home: DataCentre) -> JobKey:
+    """Make a submission key whose home is the given data centre."""
+    return JobKey(f"{home}{KEY_SEPARATOR}{uuid.uuid4().hex}")
+
+
+def home_of(key: JobKey) -> DataCentre:
+    """Return the data centre that owns a submission key.
+
+    Raises
+    ------
+    InvalidKey
+        If the key is not of the form ``<data centre>:<unique part>``.
+    """
+    home, separator, unique = key.partition(KEY_SEPARATOR)
+    if not separator:
+        raise InvalidKey("key", "has no home data centre; ask POST /v1/keys for one")
+    check_name("key", home)
+    check_name("key", unique)
+    return DataCentre(home)
+
+
+def job_id(team: Team, key: JobKey) -> JobId:
+    """Return the id of a team's job, unique over all teams."""
+    return JobId(f"{team}/{key}")
--- /dev/null
+++ b/currantwell/job_log.py
@@ -0,0 +1,92 @@
+"""The job log: commits records of jobs in groups before anyone is told of them."""
+
+from collections.abc import Iterator, Sequence
+from typing import Protocol
+
+import trio
+
+from .errors import StorageFailed
+from .journal import Journal
+from .records import Record, decode_record, encode_record
+
+__all__ = ["JobLog", "LocalJobLog"]
+
+
+class JobLog(Protocol):
+    """Where records become durable on all the hosts that hold a copy."""
+
+    def recover(self) -> Iterator[Record]:
+        """Iterate over the records committed earlier, oldest first."""
+        ...
+
+    async def commit(self, records: Sequence[Record]) -> None:
+        """Return once the records are durable on every copy of the view.
+
+        Records of calls made at the same time share one sync. They are committed
+        in the order of the calls.
+
+        Raises
+        ------
+        StorageFailed
+            If a disk refused; whether the records last is unknown.
+        Deposed
+            If a newer view has taken over; whether the records last is unknown.
+        """
+        ...
+
+
+class LocalJobLog:
+    """A job log with one copy.
+
+    Parameters
+    ----------
+    journal : Journal
+        Where the records go.
+    """
+
+    def __init__(self, journal: Journal) -> None:
+        self._journal = journal
+        self._waiting: list[bytes] = []
+        self._group: _Group | None = None
+        self._disk = trio.Lock()
+
+    def recover(self) -> Iterator[Record]:
+        """Iterate over the records committed earlier, oldest first."""
+        return (decode_record(data) for data in self._journal.read())
+
+    async def commit(self, records: Sequence[Record]) -> None:
+        """Return once the records are synced."""
+        self._waiting.extend(encode_record(record) for record in records)
+        if self._group is None:
+            self._group = _Group()
+            with trio.CancelScope(shield=True):
+                await self._sync_next()
+        else:
+            group = self._group
+            await group.done.wait()
+            group.check()
+
+    async def _sync_next(self) -> None:
+        async with self._disk:
+            group, self._group = self._group, None
+            batch, self._waiting = self._waiting, []
+            assert group is not None
+            try:
+                await self._journal.append(batch)
+            except StorageFailed as error:
+                group.error = error
+            group.done.set()
+        group.check()
+
+
+class _Group:
+    """Commits that share one sync."""
+
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.error: StorageFailed | None = None
+
+    def check(self) -> None:
+        """Raise the error of the sync, if it had one."""
+        if self.error is not None:
+            raise StorageFailed(str(self.error)) from self.error
--- /dev/null
+++ b/currantwell/jobs.py
@@ -0,0 +1,240 @@
+"""The job table: what durable records say of every job of a data centre.
+
+Invariants: the table changes by records alone, so that a backup or a restarted
+host that applies the same records holds the same table; an answer is complete or
+failed and never changes once the job is closed.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+from typing import Any
+
+from .answers import Answer, JobState, TaskState, TaskStatus
+from .codes import ResultCode, is_not_run
+from .endpoint_protocol import AttemptRef
+from .ids import EndpointId, Epoch, Incarnation, JobId
+from .records import (
+    AttemptEnded,
+    AttemptStarted,
+    JobAccepted,
+    JobCancelled,
+    JobClosed,
+    JobForgotten,
+    Record,
+)
+from .submission import RestartRule, Submission, TaskSpec
+
+__all__ = ["Job", "JobTable", "Task"]
+
+
+@dataclasses.dataclass(slots=True)
+class Task:
+    """One task of a job and its latest attempt."""
+
+    spec: TaskSpec
+    state: TaskState = TaskState.WAITING
+    code: ResultCode = ResultCode.ACCEPTED
+    attempt: int = 0
+    endpoint: EndpointId | None = None
+    incarnation: Incarnation | None = None
+    epoch: Epoch | None = None
+    value: Any = None
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more will happen to the task."""
+        return self.state not in (TaskState.WAITING, TaskState.STARTED)
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """A job and all its tasks."""
+
+    id: JobId
+    digest: str
+    submission: Submission
+    accepted_unix_s: float
+    deadline_unix_s: float
+    tasks: list[Task]
+    open_tasks: int
+    cancel_code: ResultCode | None = None
+    code: ResultCode | None = None
+
+    @property
+    def state(self) -> JobState:
+        """Where the job stands."""
+        if self.code is None:
+            return JobState.RUNNING
+        if self.code is ResultCode.COMPLETE:
+            return JobState.COMPLETE
+        return JobState.FAILED
+
+    @property
+    def doomed(self) -> bool:
+        """Whether the job can no longer be complete."""
+        return self.cancel_code is not None or any(
+            task.ended and task.state is not TaskState.DONE for task in self.tasks
+        )
+
+    def statuses(self) -> tuple[TaskStatus, ...]:
+        """Return the state of each task."""
+        return tuple(self._status(index) for index in range(len(self.tasks)))
+
+    def _status(self, index: int) -> TaskStatus:
+        task = self.tasks[index]
+        detail = str(task.value) if task.state is TaskState.FAILED else ""
+        return TaskStatus(
+            index, task.state, task.code, task.endpoint, task.attempt, detail
+        )
+
+    def answer(self) -> Answer:
+        """Return what the caller is told now."""
+        key = self.submission.key
+        if self.code is None:
+            return Answer(key, self.state, ResultCode.RUNNING)
+        if self.code is ResultCode.COMPLETE:
+            results = tuple(task.value for task in self.tasks)
+            return Answer(key, self.state, self.code, results=results)
+        return Answer(key, self.state, self.code, tasks=self.statuses())
+
+
+class JobTable:
+    """All jobs that a data centre holds."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[JobId, Job] = {}
+
+    def apply(self, record: Record) -> None:
+        """Change the table by one record.
+
+        A record about a job or attempt that the table does not hold any more has
+        no effect.
+        """
+        match record:
+            case JobAccepted():
+                self._accept(record)
+            case AttemptStarted():
+                self._start(record)
+            case AttemptEnded():
+                self._end(record)
+            case JobCancelled(job=job_id, code=code):
+                self._cancel(job_id, code)
+            case JobClosed(job=job_id, code=code):
+                self._close(job_id, code)
+            case JobForgotten(job=job_id):
+                self.jobs.pop(job_id, None)
+
+    def apply_all(self, records: Iterable[Record]) -> None:
+        """Change the table by many records, in order."""
+        for record in records:
+            self.apply(record)
+
+    def task(self, ref: AttemptRef) -> Task | None:
+        """Return the task whose latest attempt is the given one, if any."""
+        job = self.jobs.get(ref.job)
+        if job is None or not 0 <= ref.task < len(job.tasks):
+            return None
+        task = job.tasks[ref.task]
+        return task if task.attempt == ref.attempt else None
+
+    def snapshot(self) -> list[Record]:
+        """Return records that rebuild the table when applied in order."""
+        records: list[Record] = []
+        for job in self.jobs.values():
+            records.extend(self._job_records(job))
+        return records
+
+    def _job_records(self, job: Job) -> Iterable[Record]:
+        yield JobAccepted(
+            job.id,
+            job.digest,
+            job.submission,
+            job.accepted_unix_s,
+            job.deadline_unix_s,
+        )
+        for index, task in enumerate(job.tasks):
+            ref = AttemptRef(job.id, index, task.attempt)
+            if task.endpoint is not None and task.incarnation is not None:
+                epoch = task.epoch if task.epoch is not None else Epoch(0)
+                yield AttemptStarted(ref, epoch, task.endpoint, task.incarnation)
+            if task.ended:
+                yield AttemptEnded(ref, task.code, task.value)
+        if job.cancel_code is not None:
+            yield JobCancelled(job.id, job.cancel_code)
+        if job.code is not None:
+            yield JobClosed(job.id, job.code)
+
+    def _accept(self, record: JobAccepted) -> None:
+        if record.job in self.jobs:
+            return
+        tasks = [Task(spec) for spec in record.submission.tasks]
+        self.jobs[record.job] = Job(
+            record.job,
+            record.digest,
+            record.submission,
+            record.accepted_unix_s,
+            record.deadline_unix_s,
+            tasks,
+            len(tasks),
+        )
+
+    def _start(self, record: AttemptStarted) -> None:
+        job = self.jobs.get(record.ref.job)
+        if job is None:
+            return
+        task = job.tasks[record.ref.task]
+        task.state = TaskState.STARTED
+        task.attempt = record.ref.attempt
+        task.endpoint = record.endpoint
+        task.incarnation = record.incarnation
+        task.epoch = record.epoch
+
+    def _end(self, record: AttemptEnded) -> None:
+        job = self.jobs.get(record.ref.job)
+        task = self.task(record.ref)
+        if job is None or task is None or task.ended:
+            return
+        if record.code is ResultCode.COMPLETE:
+            self._settle(job, task, TaskState.DONE, record)
+        elif record.code in (ResultCode.TASK_FAILED, ResultCode.TASK_STOPPED):
+            self._settle(job, task, TaskState.FAILED, record)
+        elif is_not_run(record.code):
+            self._not_run(job, task, record)
+        elif self._may_restart(job, task, RestartRule.IF_OVER):
+            task.state = TaskState.WAITING
+        else:
+            self._settle(job, task, TaskState.UNKNOWN, record)
+
+    def _may_restart(self, job: Job, task: Task, *rules: RestartRule) -> bool:
+        return job.cancel_code is None and task.spec.restart in rules
+
+    def _not_run(self, job: Job, task: Task, record: AttemptEnded) -> None:
+        rules = (RestartRule.IF_NOT_RUN, RestartRule.IF_OVER)
+        if self._may_restart(job, task, *rules):
+            task.state = TaskState.WAITING
+        else:
+            self._settle(job, task, TaskState.NOT_RUN, record)
+
+    def _settle(
+        self, job: Job, task: Task, state: TaskState, record: AttemptEnded
+    ) -> None:
+        task.state = state
+        task.code = record.code
+        task.value = record.value
+        job.open_tasks -= 1
+
+    def _cancel(self, job_id: JobId, code: ResultCode) -> None:
+        job = self.jobs.get(job_id)
+        if job is None or job.cancel_code is not None:
+            return
+        job.cancel_code = code
+        for task in job.tasks:
+            if task.state is TaskState.WAITING:
+                task.state = TaskState.NOT_RUN
+                task.code = ResultCode.NOT_RUN_JOB_FAILED
+                job.open_tasks -= 1
+
+    def _close(self, job_id: JobId, code: ResultCode) -> None:
+        job = self.jobs.get(job_id)
+        if job is not None and job.code is None:
+            job.code = code
--- /dev/null
+++ b/currantwell/kernel.py
@@ -0,0 +1,84 @@
+"""The micro-kernel: services that find each other by name and stop in order."""
+
+from typing import NewType, Protocol, TypeVar, runtime_checkable
+
+import trio
+
+from .errors import ServiceMissing
+
+__all__ = ["Kernel", "Service", "ServiceName"]
+
+ServiceName = NewType("ServiceName", str)
+T = TypeVar("T")
+
+
+@runtime_checkable
+class Service(Protocol):
+    """A part of a process that runs until it is cancelled."""
+
+    name: ServiceName
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Run; call ``task_status.started()`` once others may use the service."""
+        ...
+
+    async def drain(self) -> None:
+        """Finish the work in progress and return; the service still runs."""
+        ...
+
+
+class Kernel:
+    """Starts services in order of registration and stops them in reverse.
+
+    Parameters
+    ----------
+    drain_timeout_s : float
+        How long all services together may take to drain.
+    """
+
+    def __init__(self, drain_timeout_s: float = 30.0) -> None:
+        self._services: dict[ServiceName, Service] = {}
+        self._stop = trio.Event()
+        self._drain_timeout_s = drain_timeout_s
+
+    def register(self, service: Service) -> None:
+        """Add a service under its name."""
+        self._services[service.name] = service
+
+    def find(self, name: ServiceName, kind: type[T]) -> T:
+        """Return the service of a name.
+
+        Raises
+        ------
+        ServiceMissing
+            If there is none, or it is of another kind.
+        """
+        service = self._services.get(name)
+        if not isinstance(service, kind):
+            raise ServiceMissing(f"no service {name!r} of kind {kind.__name__}")
+        return service
+
+    def stop(self) -> None:
+        """Ask `run` to drain all services and return."""
+        self._stop.set()
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> bool:
+        """Run all services until `stop` is called.
+
+        Returns
+        -------
+        bool
+            Whether every service drained in time.
+        """
+        async with trio.open_nursery() as nursery:
+            for service in list(self._services.values()):
+                await nursery.start(service.run)
+            task_status.started()
+            await self._stop.wait()
+            drained = False
+            with trio.move_on_after(self._drain_timeout_s):
+                for service in reversed(list(self._services.values())):
+                    await service.drain()
+                drained = True
+            nursery.cancel_scope.cancel()
+        return drained
--- /dev/null
+++ b/currantwell/peers.py
@@ -0,0 +1,207 @@
+"""Requests between hosts, over `pynng`.
+
+Each host listens on one socket and dials each other host with one. A frame is a
+MessagePack message behind a keyed digest, so that only hosts which hold the shared
+key are heard. A request that is not answered in time closes its connection and the
+next one dials anew, since an open connection may have gone silent for good while
+new ones work. Every request must be idempotent: its sender may not learn that it
+was carried out.
+"""
+
+import hashlib
+import hmac
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Protocol, TypeVar
+
+import msgspec
+import pynng
+import trio
+
+from .errors import PeerUnreachable
+from .ids import HostId
+from .kernel import ServiceName
+
+__all__ = ["PeerHandler", "PeerMessage", "PeerNetwork", "Peers"]
+
+DIGEST_BYTES = 32
+CONCURRENT_REQUESTS = 64
+DEFAULT_TIMEOUT_S = 1.0
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+
+class PeerMessage(msgspec.Struct, frozen=True, tag=True):
+    """Base of every message between hosts; the tag is the class's name."""
+
+
+Reply = TypeVar("Reply", bound=PeerMessage)
+PeerHandler = Callable[[HostId, Any], Awaitable[PeerMessage]]
+
+
+class PeerNetwork(Protocol):
+    """Asks other hosts."""
+
+    async def ask(
+        self,
+        host: HostId,
+        message: PeerMessage,
+        reply: type[Reply],
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> Reply:
+        """Send a request and return the reply.
+
+        Raises
+        ------
+        PeerUnreachable
+            If no reply of the type came in time; whether the request was carried
+            out is unknown.
+        """
+        ...
+
+    def handle(self, message: type[PeerMessage], handler: PeerHandler) -> None:
+        """Answer all requests of a type with what the handler returns."""
+        ...
+
+
+class _Frame(msgspec.Struct, frozen=True, array_like=True):
+    """What travels: who sends what."""
+
+    sender: HostId
+    name: str
+    body: msgspec.Raw
+
+
+class Peers:
+    """The service that talks to the other hosts.
+
+    Parameters
+    ----------
+    host : HostId
+        This host.
+    address : str
+        IP number and port to listen on, ``127.0.0.1:9100``.
+    addresses : mapping of HostId to str
+        IP number and port of each other host.
+    key : bytes
+        The key that all hosts share.
+    """
+
+    name = ServiceName("peers")
+
+    def __init__(
+        self,
+        host: HostId,
+        address: str,
+        addresses: Mapping[HostId, str],
+        key: bytes,
+    ) -> None:
+        self.host = host
+        self._address = address
+        self._addresses = dict(addresses)
+        self._key = key
+        self._handlers: dict[str, tuple[type[PeerMessage], PeerHandler]] = {}
+        self._sockets: dict[HostId, pynng.Req0] = {}
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Listen until cancelled."""
+        with pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES) as listener:
+            listener.listen(f"tcp://{self._address}")
+            async with trio.open_nursery() as nursery:
+                for _ in range(CONCURRENT_REQUESTS):
+                    nursery.start_soon(self._serve, listener.new_context())
+                task_status.started()
+
+    async def drain(self) -> None:
+        """Have nothing to finish."""
+
+    def set_address(self, host: HostId, address: str | None) -> None:
+        """Change or forget where a host listens."""
+        if self._addresses.get(host) == address:
+            return
+        self._drop(host)
+        if address is None:
+            self._addresses.pop(host, None)
+        else:
+            self._addresses[host] = address
+
+    def handle(self, message: type[PeerMessage], handler: PeerHandler) -> None:
+        """Answer all requests of a type with what the handler returns."""
+        self._handlers[message.__name__] = (message, handler)
+
+    async def ask(
+        self,
+        host: HostId,
+        message: PeerMessage,
+        reply: type[Reply],
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> Reply:
+        """Send a request and return the reply."""
+        socket = self._socket(host)
+        try:
+            with trio.fail_after(timeout_s), socket.new_context() as context:
+                await context.asend(self._seal(message))
+                data = await context.arecv()
+        except (trio.TooSlowError, pynng.NNGException) as error:
+            if self._sockets.get(host) is socket:
+                self._drop(host)
+            raise PeerUnreachable(f"{host}: {error!r}") from error
+        return self._open_reply(host, data, reply)
+
+    def _open_reply(self, host: HostId, data: bytes, reply: type[Reply]) -> Reply:
+        frame = self._unseal(data)
+        if frame is None or frame.name != reply.__name__:
+            raise PeerUnreachable(f"{host}: answered with something else")
+        return msgspec.msgpack.decode(frame.body, type=reply)
+
+    def _socket(self, host: HostId) -> pynng.Req0:
+        socket = self._sockets.get(host)
+        if socket is None:
+            address = self._addresses.get(host)
+            if address is None:
+                raise PeerUnreachable(f"{host}: no address is known")
+            socket = pynng.Req0(
+                resend_time=-1, recv_max_size=MAX_MESSAGE_BYTES, reconnect_time_max=500
+            )
+            socket.dial(f"tcp://{address}", block=False)
+            self._sockets[host] = socket
+        return socket
+
+    def _drop(self, host: HostId) -> None:
+        socket = self._sockets.pop(host, None)
+        if socket is not None:
+            socket.close()
+
+    async def _serve(self, context: Any) -> None:
+        while True:
+            data = await context.arecv()
+            answer = await self._answer(data)
+            if answer is not None:
+                await context.asend(self._seal(answer))
+
+    async def _answer(self, data: bytes) -> PeerMessage | None:
+        frame = self._unseal(data)
+        if frame is None or frame.name not in self._handlers:
+            return None
+        message, handler = self._handlers[frame.name]
+        try:
+            request = msgspec.msgpack.decode(frame.body, type=message)
+        except msgspec.DecodeError:
+            return None
+        return await handler(frame.sender, request)
+
+    def _seal(self, message: PeerMessage) -> bytes:
+        body = msgspec.Raw(msgspec.msgpack.encode(message))
+        frame = _Frame(self.host, type(message).__name__, body)
+        data = msgspec.msgpack.encode(frame)
+        return self._digest(data) + data
+
+    def _unseal(self, data: bytes) -> _Frame | None:
+        digest, rest = data[:DIGEST_BYTES], data[DIGEST_BYTES:]
+        if not hmac.compare_digest(digest, self._digest(rest)):
+            return None
+        try:
+            return msgspec.msgpack.decode(rest, type=_Frame)
+        except msgspec.DecodeError:
+            return None
+
+    def _digest(self, data: bytes) -> bytes:
+        return hashlib.blake2b(data, digest_size=DIGEST_BYTES, key=self._key).digest()
