Check the settings of a host as a whole

Cause: a wrong settings file was reported as one Python error, unknown keys and contradictions were not seen, and a host started with them.

Change: HostSettings names the keys and defaults, a table their kinds with unit and range, and settings_rules.py what may not stand together. All problems come at once, each with line, section, key, reason and mend. New keys: tokens_file, answer_kept_s, bodies_in_flight_bytes, data_centres. Paths start from the folder of the file.

--- a/currantwell/settings.py
+++ b/currantwell/settings.py
@@ -1,21 +1,52 @@
-"""Settings of a host, read from an INI file."""
+"""Settings of a host, read from an INI file.
+
+The schema is `HostSettings`, which names each key of section ``host`` and its
+default, and a table of the kinds of their values. Everything that is wrong is
+reported at once.
+"""
 
 import configparser
 import dataclasses
+import difflib
+import secrets
+from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 from .errors import SettingsInvalid
 from .ids import DataCentre, HostId
+from .settings_rules import (
+    HOST_SECTION,
+    MIN_KEY_BYTES,
+    PEERS_SECTION,
+    contradictions,
+    read_key,
+)
+from .settings_schema import (
+    ADDRESS,
+    IP_NUMBER,
+    NAME,
+    NAMES,
+    PATH,
+    PEER,
+    Kind,
+    PeerSettings,
+    integer,
+    number,
+)
 
-__all__ = ["HostSettings", "PeerSettings", "load_settings"]
-
+__all__ = [
+    "EffectiveValue",
+    "HostSettings",
+    "PeerSettings",
+    "load_settings",
+    "read_key",
+    "show_settings",
+    "write_key",
+]
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerSettings:
-    """Where another host stands and listens."""
-
-    data_centre: DataCentre
-    address: str
+MIB = 1024 * 1024
+_NO_SECTION = "\0"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,7 +54,8 @@
     """Settings of one host.
 
     In the INI file, the section ``peers`` has a line for each other host,
-    ``<id> = <data centre> <IP number>:<port>``; all else is in section ``host``.
+    ``<id> = <data centre> <IP number>:<port>``; all else is in section ``host``,
+    where ``host`` is called ``id``.
 
     Parameters
     ----------
@@ -31,6 +63,8 @@
         Its id.
     data_centre : DataCentre
         Where it stands.
+    data_centres : tuple of DataCentre
+        Every data centre; empty for those of this host and its peers.
     address : str
         IP number on which it serves HTTP.
     http_port : int
@@ -41,12 +75,19 @@
         How long a graceful shutdown may take.
     endpoint_lease_s : float
         Lease of endpoints.
+    answer_kept_s : float
+        How long the answer of a job is kept after its end.
+    bodies_in_flight_bytes : int
+        Most memory that request bodies may take at the same time.
     peer_address : str or None
         IP number and port for other hosts; None for a host that is alone.
     peers : dict
         The other hosts.
     key_file : Path or None
         File with the key that all hosts share.
+    tokens_file : Path or None
+        File with the hashes of the tokens of teams and operators; None lets in
+        anyone, which only a host on a loopback address may do.
     copies : int
         Hosts that hold a job before its caller hears that it is accepted.
     """
@@ -62,45 +103,220 @@
     peers: dict[HostId, PeerSettings] = dataclasses.field(default_factory=dict)
     key_file: Path | None = None
     copies: int = 1
+    tokens_file: Path | None = None
+    answer_kept_s: float = 3_600.0
+    bodies_in_flight_bytes: int = 64 * MIB
+    data_centres: tuple[DataCentre, ...] = ()
+
+
+_KINDS: dict[str, Kind] = {
+    "host": NAME,
+    "data_centre": NAME,
+    "address": IP_NUMBER,
+    "http_port": integer("the port", 0, 65_535),
+    "data_folder": PATH,
+    "drain_timeout_s": number("seconds", 0, 3_600),
+    "endpoint_lease_s": number("seconds", 0.1, 600),
+    "peer_address": ADDRESS,
+    "key_file": PATH,
+    "copies": integer("hosts", 1, 2),
+    "tokens_file": PATH,
+    "answer_kept_s": number("seconds", 1, 604_800),
+    "bodies_in_flight_bytes": integer("bytes", MIB, 4_096 * MIB),
+    "data_centres": NAMES,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EffectiveValue:
+    """A setting as it is in force.
+
+    Parameters
+    ----------
+    section, key : str
+        Its name.
+    value : str
+        Its value.
+    origin : str
+        ``<file>:<line>`` or ``default``.
+    takes : str
+        What it may be.
+    """
+
+    section: str
+    key: str
+    value: str
+    origin: str
+    takes: str
 
 
 def load_settings(path: Path) -> HostSettings:
     """Read settings from an INI file.
 
+    Relative paths in the file start from its folder.
+
+    Raises
+    ------
+    SettingsInvalid
+        Listing everything that is wrong.
+    """
+    return _Reader(path).settings()
+
+
+def show_settings(path: Path) -> list[EffectiveValue]:
+    """Return every setting as it is in force, with its origin.
+
     Raises
     ------
     SettingsInvalid
         Listing everything that is wrong.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        with path.open(encoding="utf-8") as file:
-            parser.read_file(file)
-        section = parser["host"]
-        folder = section.get("data_folder")
-        key_file = section.get("key_file")
-        return HostSettings(
-            host=HostId(section["id"]),
-            data_centre=DataCentre(section["data_centre"]),
-            address=section.get("address", "127.0.0.1"),
-            http_port=section.getint("http_port", 0),
-            data_folder=Path(folder) if folder else None,
-            drain_timeout_s=section.getfloat("drain_timeout_s", 30.0),
-            endpoint_lease_s=section.getfloat("endpoint_lease_s", 8.0),
-            peer_address=section.get("peer_address"),
-            peers=_peers(parser),
-            key_file=Path(key_file) if key_file else None,
-            copies=section.getint("copies", 1),
+    reader = _Reader(path)
+    return list(reader.effective(reader.settings()))
+
+
+def write_key(path: Path) -> None:
+    """Write a new key for all hosts to a new file that only its owner can read.
+
+    Raises
+    ------
+    FileExistsError
+        If there is such a file.
+    """
+    path.touch(mode=0o600, exist_ok=False)
+    path.write_text(secrets.token_hex(MIN_KEY_BYTES) + "\n", encoding="ascii")
+
+
+def _key_of(field: dataclasses.Field[Any]) -> str:
+    return "id" if field.name == "host" else field.name
+
+
+_SCHEMA = {
+    _key_of(field): field
+    for field in dataclasses.fields(HostSettings)
+    if field.name in _KINDS
+}
+
+
+class _Reader:
+    """Reads one file and collects what is wrong with it."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._problems: list[tuple[int, str]] = []
+        self._lines: dict[tuple[str, str], int] = {}
+        self._parser = configparser.ConfigParser(
+            interpolation=None,
+            strict=False,
+            delimiters=("=",),
+            default_section=_NO_SECTION,
         )
-    except (OSError, KeyError, ValueError, configparser.Error) as error:
-        raise SettingsInvalid([f"{path}: {error!r}"]) from error
-
-
-def _peers(parser: configparser.ConfigParser) -> dict[HostId, PeerSettings]:
-    if not parser.has_section("peers"):
-        return {}
-    peers: dict[HostId, PeerSettings] = {}
-    for name, value in parser.items("peers"):
-        data_centre, address = value.split()
-        peers[HostId(name)] = PeerSettings(DataCentre(data_centre), address)
-    return peers
+        self._parser.optionxform = str  # type: ignore[assignment,method-assign]
+
+    def settings(self) -> HostSettings:
+        """Return the settings, or raise `SettingsInvalid`."""
+        self._read()
+        values = self._values()
+        values["peers"] = self._peers()
+        for problem in contradictions(values):
+            self._say(problem.section, problem.key, problem.reason, problem.mend)
+        if self._problems:
+            raise SettingsInvalid([text for _, text in sorted(self._problems)])
+        return HostSettings(**values)
+
+    def effective(self, settings: HostSettings) -> Iterator[EffectiveValue]:
+        """Yield each setting with its origin."""
+        for key, field in _SCHEMA.items():
+            value = getattr(settings, field.name)
+            text = " ".join(value) if isinstance(value, tuple) else str(value)
+            takes = _KINDS[field.name].takes
+            yield self._effective(HOST_SECTION, key, text, takes)
+        for host, peer in settings.peers.items():
+            text = f"{peer.data_centre} {peer.address}"
+            yield self._effective(PEERS_SECTION, host, text, PEER.takes)
+
+    def _effective(self, section: str, key: str, text: str, takes: str) -> Any:
+        line = self._lines.get((section, key))
+        origin = f"{self._path}:{line}" if line else "default"
+        return EffectiveValue(section, key, text, origin, takes)
+
+    # Reading.
+
+    def _read(self) -> None:
+        try:
+            text = self._path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            raise SettingsInvalid([f"{self._path}: can't be read: {error}"]) from None
+        self._scan(text)
+        try:
+            self._parser.read_string(text)
+        except configparser.MissingSectionHeaderError as error:
+            self._add(error.lineno, "stands before any section; write [host] above it")
+        except configparser.ParsingError as error:
+            for line, _ in error.errors:
+                self._add(line, "is not 'key = value'; mend or remove the line")
+        for section in self._parser.sections():
+            if section not in (HOST_SECTION, PEERS_SECTION):
+                self._say(section, "", "unknown section", "use [host] or [peers]")
+
+    def _scan(self, text: str) -> None:
+        """Note the line of each section and key."""
+        section = ""
+        for line, raw in enumerate(text.splitlines(), 1):
+            content = raw.strip()
+            if content.startswith("[") and content.endswith("]"):
+                section = content[1:-1]
+                self._lines.setdefault((section, ""), line)
+            elif "=" in content and content[0] not in "#;" and not raw[0].isspace():
+                key = content.partition("=")[0].strip()
+                if (section, key) in self._lines:
+                    first = self._lines[section, key]
+                    reason = f"is given twice, first in line {first}"
+                    self._add(line, f"[{section}] {key}: {reason}; keep one")
+                self._lines[section, key] = line
+
+    def _values(self) -> dict[str, Any]:
+        given = self._section(HOST_SECTION)
+        for key in given.keys() - _SCHEMA.keys():
+            near = difflib.get_close_matches(key, _SCHEMA, 1)
+            mend = f"did you mean {near[0]}?" if near else "remove it"
+            self._say(HOST_SECTION, key, "unknown key", mend)
+        values: dict[str, Any] = {}
+        for key, field in _SCHEMA.items():
+            if key in given:
+                values[field.name] = self._value(field, key, given[key])
+            elif field.default is dataclasses.MISSING:
+                self._say(HOST_SECTION, key, "is missing", f"add '{key} = ...'")
+        return values
+
+    def _value(self, field: dataclasses.Field[Any], key: str, text: str) -> Any:
+        kind: Kind = _KINDS[field.name]
+        value = self._parse(kind, HOST_SECTION, key, text)
+        return self._path.parent / value if isinstance(value, Path) else value
+
+    def _peers(self) -> dict[HostId, PeerSettings]:
+        peers: dict[HostId, PeerSettings] = {}
+        for name, text in self._section(PEERS_SECTION).items():
+            self._parse(NAME, PEERS_SECTION, name, name)
+            peer = self._parse(PEER, PEERS_SECTION, name, text)
+            if peer is not None:
+                peers[HostId(name)] = peer
+        return peers
+
+    def _parse(self, kind: Kind, section: str, key: str, text: str) -> Any:
+        try:
+            return kind.parse(text)
+        except ValueError as error:
+            self._say(section, key, str(error), f"write {kind.takes}")
+            return None
+
+    def _section(self, name: str) -> dict[str, str]:
+        return dict(self._parser[name]) if self._parser.has_section(name) else {}
+
+    def _say(self, section: str, key: str, reason: str, mend: str) -> None:
+        line = self._lines.get((section, key), self._lines.get((section, ""), 1))
+        name = f"[{section}] {key}".rstrip()
+        self._add(line, f"{name}: {reason}; {mend}")
+
+    def _add(self, line: int, text: str) -> None:
+        self._problems.append((line, f"{self._path}:{line}: {text}"))
