Tell by tokens who a request comes from

Cause: any caller could read and cancel any team's jobs by naming the team.

Ruled out: slow password hashes, since a token holds 32 random bytes and is looked up at every request; a header with the operator's name, since anyone can write it.

`token new` prints a token and its line. Settings with a wrong tokens file are refused.

Seen to fail first, by breaking: a team other than the token's, another scheme, a digest given twice, endpoints' tokens, an operator's right by a team's token.

--- a/currantwell/cli/__init__.py
+++ b/currantwell/cli/__init__.py
@@ -8,6 +8,7 @@
 from .host import host
 from .job import job
 from .settings import settings
+from .token import token
 
 __all__ = ["main"]
 
@@ -18,5 +19,5 @@
     """Dispatch sub-second tasks."""
 
 
-for _command in (demo, endpoint, host, job, settings):
+for _command in (demo, endpoint, host, job, settings, token):
     main.add_command(_command)
--- a/currantwell/ids.py
+++ b/currantwell/ids.py
@@ -14,6 +14,7 @@
     "Incarnation",
     "JobId",
     "JobKey",
+    "Operator",
     "Rack",
     "Team",
     "check_name",
@@ -28,6 +29,7 @@
 EndpointId = NewType("EndpointId", str)
 Incarnation = NewType("Incarnation", str)
 Team = NewType("Team", str)
+Operator = NewType("Operator", str)
 JobKey = NewType("JobKey", str)
 JobId = NewType("JobId", str)
 ChangeId = NewType("ChangeId", str)
--- a/currantwell/settings_rules.py
+++ b/currantwell/settings_rules.py
@@ -6,6 +6,8 @@
 from pathlib import Path
 from typing import Any
 
+from .auth import load_tokens
+from .errors import SettingsInvalid
 from .settings_schema import PeerSettings
 
 __all__ = [
@@ -137,10 +139,11 @@
             yield Contradiction(HOST_SECTION, "key_file", str(error), mend)
     if path := values.get("tokens_file"):
         try:
-            path.read_bytes()
-        except OSError as error:
-            mend = "write one with the lines of 'token new'"
-            yield Contradiction(HOST_SECTION, "tokens_file", str(error), mend)
+            load_tokens(path)
+        except SettingsInvalid as error:
+            mend = "write it with the lines of 'token new'"
+            for problem in error.problems:
+                yield Contradiction(HOST_SECTION, "tokens_file", problem, mend)
     folder = values.get("data_folder")
     if folder and folder.exists() and not folder.is_dir():
         reason = f"{folder} is not a folder"
--- /dev/null
+++ b/tests/test_auth.py
@@ -0,0 +1,84 @@
+import base64
+
+import pytest
+from click.testing import CliRunner
+
+from currantwell.auth import OpenAuthenticator, hash_of, load_tokens
+from currantwell.cli import main
+from currantwell.errors import SettingsInvalid
+
+TOKENS = f"""\
+[teams]
+valdres-drivers = {hash_of("d1")} {hash_of("d2")}
+classers = {hash_of("c")}
+[operators]
+kari = {hash_of("k")}
+"""
+
+
+def bearer(token):
+    return {"authorization": f"Bearer {token}"}
+
+
+@pytest.fixture
+def tokens(tmp_path):
+    path = tmp_path / "tokens.ini"
+    path.write_text(TOKENS)
+    return path
+
+
+def test_a_token_names_its_team_and_no_other(tokens):
+    auth = load_tokens(tokens)
+    for token in ("d1", "d2"):
+        assert auth.team(bearer(token), None) == "valdres-drivers"
+        assert auth.team(bearer(token), "valdres-drivers") == "valdres-drivers"
+        assert auth.team(bearer(token), "classers") is None
+    for headers in ({}, bearer("x"), bearer("k"), {"authorization": "Digest d1"}):
+        assert auth.team(headers, "valdres-drivers") is None
+        assert auth.team(headers, None) is None
+
+
+def test_operators_have_tokens_of_their_own(tokens):
+    auth = load_tokens(tokens)
+    assert auth.operator(bearer("k")) == "kari"
+    basic = base64.b64encode(b"anyone:k").decode()
+    assert auth.operator({"authorization": f"Basic {basic}"}) == "kari"
+    for headers in ({}, bearer("d1"), bearer(""), {"authorization": "Basic ?"}):
+        assert auth.operator(headers) is None
+
+
+def test_endpoints_need_tokens_once_there_is_a_section(tokens):
+    assert load_tokens(tokens).endpoint({})
+    tokens.write_text(TOKENS + f"[endpoints]\nshed = {hash_of('e')}\n")
+    auth = load_tokens(tokens)
+    assert auth.endpoint(bearer("e"))
+    assert not auth.endpoint({})
+    assert not auth.endpoint(bearer("d1"))
+
+
+def test_an_open_host_believes_everyone():
+    assert OpenAuthenticator().team({}, "classers") == "classers"
+    assert OpenAuthenticator().operator({}) == "local"
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("[teams]\na = 12ab", "is not a digest"),
+        (f"[teams]\na = {hash_of('x')}\nb = {hash_of('x')}", "the token of a"),
+        ("[team]", "unknown section"),
+        ("a = 1", "can't be read"),
+    ],
+)
+def test_a_wrong_file_is_refused(tokens, text, said):
+    tokens.write_text(text)
+    with pytest.raises(SettingsInvalid, match=said):
+        load_tokens(tokens)
+
+
+def test_the_command_line_makes_a_line_for_the_file(tokens):
+    output = CliRunner().invoke(main, ["token", "new", "hallingdal"]).output
+    token, line = (text.split(": ")[1].strip() for text in output.splitlines())
+    tokens.write_text(f"[teams]\n{line}\n")
+    assert load_tokens(tokens).team(bearer(token), None) == "hallingdal"
+    assert token not in line
