Refuse bad submissions by field, and what could not be stored

Cause: a payload nested deeply or holding an integer of over 64 bits was decoded and then failed in the codec of the records, after admission; invalid UTF-8 escaped the decoder as an error of its own; unknown and missing fields were reported as "body".

Ruled out: a limit on brackets in the whole body, since a job of 850 tasks has many; payloads kept as raw JSON, since their digest would hang on blanks.

Change: depth and integers of payloads are checked at the door, names of data centres and endpoints too, and each error names its field and code. A body may also hold a single request. The new code UNKNOWN_NOT_READ is for a request that was not read: as its key is not known, a "not run" could be false of an earlier one with that key.

--- a/currantwell/answers.py
+++ b/currantwell/answers.py
@@ -8,7 +8,15 @@
 from .codes import ResultCode
 from .ids import JobKey
 
-__all__ = ["Answer", "JobState", "Refusal", "TaskState", "TaskStatus"]
+__all__ = [
+    "Answer",
+    "JobState",
+    "Refusal",
+    "RequestAnswer",
+    "TaskState",
+    "TaskStatus",
+    "request_answer",
+]
 
 
 class JobState(enum.Enum):
@@ -87,3 +95,39 @@
     detail: str
     field: str | None = None
     retry_after_s: float | None = None
+
+
+class RequestAnswer(msgspec.Struct, frozen=True):
+    """The answer to a single request.
+
+    Parameters
+    ----------
+    key : str
+        The submission key.
+    state : JobState
+        ``running`` until the request has ended.
+    code : ResultCode
+        Result code of its one task.
+    value : object
+        The value of the task when complete.
+    detail : str
+        What a person should know.
+    """
+
+    key: JobKey
+    state: JobState
+    code: ResultCode
+    value: Any = None
+    detail: str = ""
+
+
+def request_answer(answer: Answer) -> RequestAnswer:
+    """Return the answer to a single request from that to its job of one task."""
+    if answer.results is not None:
+        value = answer.results[0]
+        return RequestAnswer(answer.key, answer.state, answer.code, value)
+    for status in answer.tasks:
+        return RequestAnswer(
+            answer.key, answer.state, status.code, detail=status.detail
+        )
+    return RequestAnswer(answer.key, answer.state, answer.code, detail=answer.detail)
--- a/currantwell/codes.py
+++ b/currantwell/codes.py
@@ -24,6 +24,7 @@
     UNKNOWN_OWNER_UNREACHABLE = 3000
     UNKNOWN_ATTEMPT_LOST = 3001
     UNKNOWN_NOT_CONFIRMED = 3002
+    UNKNOWN_NOT_READ = 3003
     BAD_BODY = 4000
     BAD_KEY = 4001
     BAD_FIELD = 4002
@@ -51,6 +52,7 @@
     ResultCode.UNKNOWN_OWNER_UNREACHABLE: 504,
     ResultCode.UNKNOWN_ATTEMPT_LOST: 200,
     ResultCode.UNKNOWN_NOT_CONFIRMED: 504,
+    ResultCode.UNKNOWN_NOT_READ: 503,
     ResultCode.BAD_BODY: 400,
     ResultCode.BAD_KEY: 400,
     ResultCode.BAD_FIELD: 400,
--- a/currantwell/errors.py
+++ b/currantwell/errors.py
@@ -1,13 +1,19 @@
 """Every exception of the package."""
 
+from .codes import ResultCode
+
 __all__ = [
     "AgreementLost",
+    "BodyMalformed",
+    "BodyNotRead",
+    "BodyTooLarge",
     "CurrantwellError",
     "Deposed",
     "EndpointUnreachable",
     "InvalidKey",
     "InvalidRequest",
     "JournalDamaged",
+    "NotAuthorized",
     "PeerUnreachable",
     "ServiceMissing",
     "SettingsInvalid",
@@ -30,6 +36,8 @@
         What is wrong with it.
     """
 
+    code = ResultCode.BAD_FIELD
+
     def __init__(self, field: str, reason: str) -> None:
         super().__init__(f"{field}: {reason}")
         self.field = field
@@ -39,6 +47,31 @@
 class InvalidKey(InvalidRequest):
     """A key or name that is malformed."""
 
+    def __init__(self, field: str, reason: str) -> None:
+        super().__init__(field, reason)
+        if field == "key":
+            self.code = ResultCode.BAD_KEY
+
+
+class BodyMalformed(InvalidRequest):
+    """A body that is no JSON, or did not arrive whole in time."""
+
+    code = ResultCode.BAD_BODY
+
+
+class BodyTooLarge(InvalidRequest):
+    """A body that is larger than any may be."""
+
+    code = ResultCode.TOO_LARGE
+
+
+class BodyNotRead(CurrantwellError):
+    """A body for which there is no memory now; nothing is known of its key."""
+
+
+class NotAuthorized(CurrantwellError):
+    """A sender that may not do what it asked for."""
+
 
 class SettingsInvalid(CurrantwellError):
     """Settings that can't be used.
--- a/currantwell/submission.py
+++ b/currantwell/submission.py
@@ -2,20 +2,23 @@
 
 import enum
 import hashlib
-from typing import Any
+import re
+from typing import Any, TypeVar
 
 import msgspec
 
-from .errors import InvalidRequest
+from .errors import BodyMalformed, InvalidRequest
 from .ids import DataCentre, EndpointId, JobKey, Team, check_name, home_of
 
 __all__ = [
     "MAX_BODY_BYTES",
     "MAX_TASKS",
     "RestartRule",
+    "SingleRequest",
     "Submission",
     "TaskSpec",
     "check_submission",
+    "decode_request",
     "decode_submission",
     "digest_of",
 ]
@@ -26,6 +29,10 @@
 MAX_PROCESSORS = 1_024.0
 MAX_MEMORY_MB = 4 * 1024 * 1024
 MAX_ACCELERATORS = 64
+MAX_PAYLOAD_DEPTH = 64
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**64 - 1
+MAX_REASON_CHARS = 200
 
 
 class RestartRule(enum.Enum):
@@ -98,7 +105,27 @@
     deadline_s: float = 60.0
 
 
-_decoder = msgspec.json.Decoder(Submission)
+class SingleRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A job of one task, as its caller sends it.
+
+    Parameters
+    ----------
+    key, team, deadline_s
+        As those of `Submission`.
+    task : TaskSpec
+        The task.
+    """
+
+    key: JobKey
+    team: Team
+    task: TaskSpec
+    deadline_s: float = 60.0
+
+
+_Body = TypeVar("_Body")
+_submission_decoder = msgspec.json.Decoder(Submission)
+_request_decoder = msgspec.json.Decoder(SingleRequest)
+_FIELD = re.compile(r"field `([^`]*)`")
 _digest_encoder = msgspec.msgpack.Encoder(order="sorted")
 
 
@@ -107,9 +134,32 @@
         raise InvalidRequest(field, f"{value} is not between {low} and {high}")
 
 
+def _check_payload(field: str, payload: Any) -> None:
+    """Check that a payload can be stored: not too deep, no number too large."""
+    level, depth = [payload], 0
+    while level:
+        depth += 1
+        if depth > MAX_PAYLOAD_DEPTH:
+            raise InvalidRequest(field, f"is nested deeper than {MAX_PAYLOAD_DEPTH}")
+        inner: list[Any] = []
+        for value in level:
+            if isinstance(value, dict):
+                inner.extend(value.values())
+            elif isinstance(value, list):
+                inner.extend(value)
+            elif isinstance(value, int) and not MIN_INTEGER <= value <= MAX_INTEGER:
+                raise InvalidRequest(field, "holds an integer of over 64 bits")
+        level = inner
+
+
 def _check_task(index: int, task: TaskSpec) -> None:
     prefix = f"tasks[{index}]"
     check_name(f"{prefix}.kind", task.kind)
+    if task.data_centre is not None:
+        check_name(f"{prefix}.data_centre", task.data_centre)
+    if task.endpoint is not None:
+        check_name(f"{prefix}.endpoint", task.endpoint)
+    _check_payload(f"{prefix}.payload", task.payload)
     if task.run_time_s is not None:
         _check_range(f"{prefix}.run_time_s", task.run_time_s, 0.0, MAX_DEADLINE_S)
     _check_range(f"{prefix}.processors", task.processors, 0.0, MAX_PROCESSORS)
@@ -158,14 +208,49 @@
     InvalidRequest
         If the body is malformed, has unknown fields or values out of range.
     """
+    return check_submission(_decode(_submission_decoder, body))
+
+
+def decode_request(body: bytes) -> Submission:
+    """Decode and check a JSON single request.
+
+    Parameters
+    ----------
+    body : bytes
+        A JSON object with the fields of `SingleRequest`.
+
+    Returns
+    -------
+    Submission
+        The checked job of one task.
+
+    Raises
+    ------
+    InvalidRequest
+        If the body is malformed, has unknown fields or values out of range.
+    """
+    request = _decode(_request_decoder, body)
+    return check_submission(
+        Submission(request.key, request.team, (request.task,), request.deadline_s)
+    )
+
+
+def _decode(decoder: "msgspec.json.Decoder[_Body]", body: bytes) -> _Body:
     try:
-        submission = _decoder.decode(body)
+        return decoder.decode(body)
     except msgspec.ValidationError as error:
-        reason, _, path = str(error).partition(" - at `$.")
-        raise InvalidRequest(path.rstrip("`") or "body", reason) from error
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise InvalidRequest("body", str(error)) from error
-    return check_submission(submission)
+        raise _field_error(str(error)) from None
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise BodyMalformed("body", str(error)[:MAX_REASON_CHARS]) from None
+
+
+def _field_error(text: str) -> InvalidRequest:
+    """Return the error that names the field of a message of msgspec."""
+    reason, _, path = text.partition(" - at `$")
+    named = _FIELD.search(reason)
+    parts = [path.rstrip("`").lstrip("."), named.group(1) if named else ""]
+    field = ".".join(part for part in parts if part) or "body"
+    return InvalidRequest(field[:MAX_REASON_CHARS], reason[:MAX_REASON_CHARS])
 
 
 def digest_of(submission: Submission) -> str:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,8 @@
 
 from pathlib import Path
 
+import msgspec
+
 KEY_TEXT = "k" * 64 + "\n"
 
 
@@ -12,3 +14,11 @@
     path = folder / "host.ini"
     path.write_text(text)
     return path
+
+
+def job_body(**changes: object) -> bytes:
+    """Return the body of a good submission, with changes; None takes a field out."""
+    fields = {"key": "valdres:k1", "team": "drivers", "tasks": [{"kind": "receipt"}]}
+    fields |= changes
+    kept = {name: value for name, value in fields.items() if value is not None}
+    return msgspec.json.encode(kept)
