List the tasks of a job, drain endpoints, and time jobs, waits and commits

Cause: nothing could list a job's tasks, an operator could not drain an endpoint, and a running host showed no figures.

Ruled out: keeping an operator's drain on the host alone, which a new primary would not know; the endpoint is told with its lease and announces itself as draining from then on. Quantiles over the whole life of the process, which hide the last minutes.

Change: JobGateway and Router get tasks, JobGateway gets drain_endpoint, Dispatcher both and load; AnnouncementReply gets drain. Metrics by hdrhistogram with windows of a minute, in the text format of Prometheus.

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -8,10 +8,11 @@
 import dataclasses
 from collections.abc import Sequence
 
+import msgspec
 import trio
 
 from . import events
-from .answers import Answer, Refusal, TaskState
+from .answers import Answer, Refusal, TaskState, TaskStatus
 from .clock import CalendarClock, now_s
 from .codes import ResultCode
 from .endpoint_link import EndpointLink
@@ -26,10 +27,11 @@
     StartReply,
 )
 from .errors import Deposed
-from .ids import DataCentre, EndpointId, Epoch, Incarnation, JobId, job_id
+from .ids import DataCentre, EndpointId, Epoch, Incarnation, JobId, Operator, job_id
 from .job_log import JobLog
 from .jobs import Job, JobTable, Task
 from .kernel import ServiceName
+from .metrics import HostLoad, Metrics, Timing
 from .records import (
     AttemptEnded,
     AttemptStarted,
@@ -99,6 +101,8 @@
         For deadlines that outlast the process.
     limits : DispatcherLimits
         Limits.
+    metrics : Metrics or None
+        Where times go.
     """
 
     name = ServiceName("dispatcher")
@@ -111,6 +115,7 @@
         scheduler: Scheduler,
         calendar: CalendarClock,
         limits: DispatcherLimits | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self.data_centre = data_centre
         self.epoch = epoch
@@ -121,6 +126,8 @@
         self._scheduler = scheduler
         self._calendar = calendar
         self._limits = limits or DispatcherLimits()
+        self._metrics = metrics or Metrics()
+        self._drains: dict[EndpointId, bool] = {}
         self._known: dict[EndpointId, _Known] = {}
         self._outbox: list[_Entry] = []
         self._placed: list[PlacedTask] = []
@@ -188,6 +195,14 @@
         await self._cancel(job, ResultCode.JOB_CANCELLED)
         return self._answer(job)
 
+    async def tasks(self, job: JobId) -> tuple[TaskStatus, ...] | Refusal:
+        """Return where each task of a job stands, once that is durable."""
+        if job not in self.table.jobs:
+            return Refusal(ResultCode.JOB_NOT_FOUND, "no such job", "key")
+        statuses = self.table.jobs[job].statuses()
+        await self._put([]).wait()
+        return statuses
+
     async def explain(self, job: JobId) -> list[str] | Refusal:
         """Say why the tasks of a job stand where they stand."""
         if job not in self.table.jobs:
@@ -198,6 +213,43 @@
         """Return what all known endpoints last said of themselves."""
         return [known.announcement for known in self._known.values()]
 
+    async def drain_endpoint(
+        self, endpoint: EndpointId, draining: bool, operator: Operator
+    ) -> Refusal | None:
+        """Have an endpoint get no new starts, or get them again.
+
+        The endpoint is told with its next lease and keeps it from then on.
+        """
+        known = self._known.get(endpoint)
+        if known is None:
+            return Refusal(ResultCode.NOT_FOUND, "no such endpoint", "endpoint")
+        self._drains[endpoint] = draining
+        said = msgspec.structs.replace(known.announcement, draining=draining)
+        known.announcement = said
+        self._scheduler.endpoint_announced(said, now_s())
+        events.ENDPOINT_DRAINED.log(
+            endpoint=endpoint, draining=draining, operator=operator
+        )
+        return None
+
+    def load(self) -> HostLoad:
+        """Return what there is to do now."""
+        said = [known.announcement for known in self._known.values()]
+        states = [
+            task.state
+            for job in self.table.jobs.values()
+            if job.code is None
+            for task in job.tasks
+        ]
+        return HostLoad(
+            self.starts_sent,
+            self.starts_refused,
+            len(said),
+            sum(announcement.slots for announcement in said),
+            states.count(TaskState.STARTED),
+            states.count(TaskState.WAITING),
+        )
+
     async def announce(self, announcement: Announcement) -> AnnouncementReply | Refusal:
         """Take in an endpoint's announcement and grant it a lease."""
         process = (announcement.endpoint, announcement.incarnation)
@@ -209,11 +261,16 @@
             known = None
         if known is None:
             known = self._meet(announcement)
+        drain = self._drains.get(announcement.endpoint)
+        if drain:
+            announcement = msgspec.structs.replace(announcement, draining=True)
+        elif drain is False and not announcement.draining:
+            drain = self._drains.pop(announcement.endpoint)
         known.announcement = announcement
         known.heard_s = now_s()
         self._scheduler.endpoint_announced(announcement, now_s())
         self._wake.set()
-        return AnnouncementReply(self._limits.endpoint_lease_s, self.epoch)
+        return AnnouncementReply(self._limits.endpoint_lease_s, self.epoch, drain)
 
     # What links tell.
 
@@ -322,6 +379,10 @@
 
     async def _show_answer(self, job: JobId, committed: trio.Event) -> None:
         await committed.wait()
+        accepted_unix_s = self.table.jobs[job].accepted_unix_s
+        self._metrics.observe(
+            Timing.JOB_RESPONSE, self._calendar.unix_s() - accepted_unix_s
+        )
         self._answered[job].set()
 
     # Attempts.
@@ -443,6 +504,8 @@
             await self._wake.wait()
             self._wake = trio.Event()
             placed = self._scheduler.plan(now_s())
+            for item in placed:
+                self._metrics.observe(Timing.QUEUE_WAIT, now_s() - item.task.since_s)
             if placed:
                 self._put([self._intent(item) for item in placed])
             entries, self._outbox = self._outbox, []
--- a/currantwell/emulator.py
+++ b/currantwell/emulator.py
@@ -388,6 +388,8 @@
         if granted.lease_s <= 0:
             self._abandon()
             return
+        if granted.drain is not None:
+            self.faults.draining = granted.drain
         end_s = sent_s + granted.lease_s
         self._lease_end_s = max(end_s, self._lease_end_s or end_s)
 
--- a/currantwell/endpoint_protocol.py
+++ b/currantwell/endpoint_protocol.py
@@ -88,10 +88,14 @@
         endpoint stops all it runs and announces itself under a new one.
     epoch : int
         The epoch of the primary that granted the lease.
+    drain : bool or None
+        Whether an operator wants the endpoint to drain; None for no wish. The
+        endpoint keeps it for as long as it lives and announces it as `draining`.
     """
 
     lease_s: float
     epoch: Epoch
+    drain: bool | None = None
 
 
 class Start(msgspec.Struct, frozen=True):
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -81,3 +81,12 @@
 STORAGE_FAILED = _event(
     400, "storage_failed", Level.ERROR, "A disk refused; the host stops."
 )
+REQUEST_FAILED = _event(
+    900, "request_failed", Level.ERROR, "A request met an unforeseen error."
+)
+ENDPOINT_DRAINED = _event(
+    901,
+    "endpoint_drained",
+    Level.INFO,
+    "An operator had an endpoint drained, or put back to use.",
+)
--- a/currantwell/gateway.py
+++ b/currantwell/gateway.py
@@ -2,9 +2,9 @@
 
 from typing import Protocol
 
-from .answers import Answer, Refusal
+from .answers import Answer, Refusal, TaskStatus
 from .endpoint_protocol import Announcement, AnnouncementReply
-from .ids import JobId
+from .ids import EndpointId, JobId, Operator
 from .submission import Submission
 
 __all__ = ["JobGateway"]
@@ -25,6 +25,10 @@
         """Start nothing more of a job and stop what runs."""
         ...
 
+    async def tasks(self, job: JobId) -> tuple[TaskStatus, ...] | Refusal:
+        """Return where each task of a job stands."""
+        ...
+
     async def explain(self, job: JobId) -> list[str] | Refusal:
         """Say why the tasks of a job stand where they stand."""
         ...
@@ -36,3 +40,9 @@
     async def endpoints(self) -> list[Announcement] | Refusal:
         """Return what all known endpoints last said of themselves."""
         ...
+
+    async def drain_endpoint(
+        self, endpoint: EndpointId, draining: bool, operator: Operator
+    ) -> Refusal | None:
+        """Have an endpoint get no new starts, or get them again."""
+        ...
--- /dev/null
+++ b/currantwell/metrics.py
@@ -0,0 +1,236 @@
+"""Metrics of a host, by `hdrhistogram`, in the text format of Prometheus.
+
+Quantiles are those of the last one to two minutes, counts and sums those since the
+start of the process.
+"""
+
+import collections
+import dataclasses
+import enum
+from collections.abc import Iterator, Sequence
+from typing import Protocol
+
+import trio
+from hdrh.histogram import HdrHistogram
+
+from .clock import now_s
+from .codes import ResultCode
+from .job_log import JobLog
+from .kernel import ServiceName
+from .records import Record
+
+__all__ = [
+    "HostLoad",
+    "LoadSource",
+    "LoopMonitor",
+    "MeasuredJobLog",
+    "Metrics",
+    "NoLoad",
+    "Timing",
+]
+
+TICKS_PER_S = 1_000_000
+MAX_TIME_S = 3_600
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (0.5, 0.9, 0.99, 0.999, 1.0)
+WINDOW_S = 60.0
+LAG_INTERVAL_S = 0.1
+
+
+class Timing(enum.Enum):
+    """What is timed."""
+
+    JOB_RESPONSE = ("job_response", "From acceptance of a job to its answer.")
+    QUEUE_WAIT = ("queue_wait", "From when a task may start to its placement.")
+    COMMIT = ("commit", "Until records are durable on every copy.")
+    LOOP_LAG = ("loop_lag", "How late the loop woke a sleeping task.")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostLoad:
+    """What a host has to do now.
+
+    Parameters
+    ----------
+    starts, wasted : int
+        Starts sent and starts refused by endpoints, since the process began.
+    endpoints, slots : int
+        Endpoints known and their slots.
+    running, waiting : int
+        Tasks started and not ended, and tasks that wait.
+    """
+
+    starts: int = 0
+    wasted: int = 0
+    endpoints: int = 0
+    slots: int = 0
+    running: int = 0
+    waiting: int = 0
+
+
+class LoadSource(Protocol):
+    """Knows what a host has to do."""
+
+    def load(self) -> HostLoad:
+        """Return the load now."""
+        ...
+
+
+class NoLoad:
+    """The load of a host that runs no jobs."""
+
+    def load(self) -> HostLoad:
+        """Return no load."""
+        return HostLoad()
+
+
+class _Series:
+    """Times of one kind."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.sum_s = 0.0
+        self._now = _histogram()
+        self._before = _histogram()
+
+    def observe(self, time_s: float) -> None:
+        """Add a time."""
+        self.count += 1
+        self.sum_s += time_s
+        ticks = min(max(1, round(time_s * TICKS_PER_S)), MAX_TIME_S * TICKS_PER_S)
+        self._now.record_value(ticks)
+
+    def rotate(self) -> None:
+        """Begin a new window."""
+        self._before, self._now = self._now, self._before
+        self._now.reset()
+
+    def quantiles_s(self) -> list[float]:
+        """Return the quantiles of this window and the one before."""
+        both = _histogram()
+        both.add(self._now)
+        both.add(self._before)
+        return [
+            both.get_value_at_percentile(100 * quantile) / TICKS_PER_S
+            for quantile in QUANTILES
+        ]
+
+
+class Metrics:
+    """Times and counts of a host."""
+
+    def __init__(self) -> None:
+        self._series = {timing: _Series() for timing in Timing}
+        self._refusals: collections.Counter[ResultCode] = collections.Counter()
+
+    def observe(self, timing: Timing, time_s: float) -> None:
+        """Add a time, in seconds."""
+        self._series[timing].observe(time_s)
+
+    def refused(self, code: ResultCode) -> None:
+        """Count a refusal."""
+        self._refusals[code] += 1
+
+    def rotate(self) -> None:
+        """Begin a new window of all quantiles."""
+        for series in self._series.values():
+            series.rotate()
+
+    def text(self, load: HostLoad) -> str:
+        """Return all metrics in the text format of Prometheus."""
+        lines = [line for timing in Timing for line in self._timing_lines(timing)]
+        lines.extend(_heading("refusals_total", "counter", "Refusals by result code."))
+        lines.extend(
+            f'currantwell_refusals_total{{code="{code.name}"}} {count}'
+            for code, count in sorted(self._refusals.items())
+        )
+        for name, kind, meaning, value in _load_figures(load):
+            lines.extend(_heading(name, kind, meaning))
+            lines.append(f"currantwell_{name} {value}")
+        return "\n".join(lines) + "\n"
+
+    def _timing_lines(self, timing: Timing) -> Iterator[str]:
+        label, meaning = timing.value
+        name = f"{label}_seconds"
+        series = self._series[timing]
+        yield from _heading(name, "summary", meaning)
+        for quantile, time_s in zip(QUANTILES, series.quantiles_s(), strict=True):
+            yield f'currantwell_{name}{{quantile="{quantile}"}} {time_s}'
+        yield f"currantwell_{name}_sum {series.sum_s}"
+        yield f"currantwell_{name}_count {series.count}"
+
+
+class MeasuredJobLog:
+    """A job log whose commits are timed.
+
+    Parameters
+    ----------
+    job_log : JobLog
+        The job log.
+    metrics : Metrics
+        Where the times go.
+    """
+
+    def __init__(self, job_log: JobLog, metrics: Metrics) -> None:
+        self._job_log = job_log
+        self._metrics = metrics
+
+    def recover(self) -> Iterator[Record]:
+        """Iterate over the records committed earlier, oldest first."""
+        return self._job_log.recover()
+
+    async def commit(self, records: Sequence[Record]) -> None:
+        """Return once the records are durable on every copy of the view."""
+        begun_s = now_s()
+        await self._job_log.commit(records)
+        self._metrics.observe(Timing.COMMIT, now_s() - begun_s)
+
+
+class LoopMonitor:
+    """The service that times the loop and begins new windows.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Where the times go.
+    """
+
+    name = ServiceName("loop-monitor")
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Measure until cancelled."""
+        task_status.started()
+        window_end_s = now_s() + WINDOW_S
+        while True:
+            due_s = now_s() + LAG_INTERVAL_S
+            await trio.sleep_until(due_s)
+            self._metrics.observe(Timing.LOOP_LAG, now_s() - due_s)
+            if now_s() >= window_end_s:
+                self._metrics.rotate()
+                window_end_s += WINDOW_S
+
+    async def drain(self) -> None:
+        """Have nothing to finish."""
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, MAX_TIME_S * TICKS_PER_S, SIGNIFICANT_DIGITS)
+
+
+def _heading(name: str, kind: str, meaning: str) -> tuple[str, str]:
+    full = f"currantwell_{name}"
+    return f"# HELP {full} {meaning}", f"# TYPE {full} {kind}"
+
+
+def _load_figures(load: HostLoad) -> tuple[tuple[str, str, str, int], ...]:
+    return (
+        ("starts_total", "counter", "Starts sent to endpoints.", load.starts),
+        ("wasted_total", "counter", "Starts refused by endpoints.", load.wasted),
+        ("endpoints", "gauge", "Endpoints known.", load.endpoints),
+        ("slots", "gauge", "Slots of all endpoints.", load.slots),
+        ("tasks_running", "gauge", "Tasks started and not ended.", load.running),
+        ("tasks_waiting", "gauge", "Tasks that wait.", load.waiting),
+    )
--- a/currantwell/router.py
+++ b/currantwell/router.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from .answers import Answer, Refusal
+from .answers import Answer, Refusal, TaskStatus
 from .codes import ResultCode
 from .errors import InvalidRequest, PeerUnreachable
 from .gateway import JobGateway
@@ -97,6 +97,16 @@
         except PeerUnreachable as error:
             return _unreachable(str(error))
 
+    async def tasks(self, team: Team, key: JobKey) -> tuple[TaskStatus, ...] | Refusal:
+        """Return where each task of a job stands."""
+        gateway = self._owner(key)
+        if isinstance(gateway, Refusal):
+            return gateway
+        try:
+            return await gateway.tasks(job_id(team, key))
+        except PeerUnreachable as error:
+            return _unreachable(str(error))
+
     async def explain(self, team: Team, key: JobKey) -> list[str] | Refusal:
         """Explain a job."""
         gateway = self._owner(key)
