Bound, authenticate and number every request of the HTTP interface

Cause: bodies in flight were not bounded together, a caller could reach any team's jobs, errors that no one foresaw came as plain text, and there was no way to list tasks, send a single request, drain an endpoint, or see metrics and status.

Ruled out: reserving the declared length of a body at once, since a sender that declares much and sends nothing would shut others out; "not run" for a body that was not read, since a first submission with its key may be running.

Change: bodies are bounded in size, time and memory, for each caller and for all; teams, operators and endpoints are known by the Authenticator; every refusal has a number, a reason and, where there is one, a field. New routes: POST /v1/requests, GET /v1/jobs/{key}/tasks, POST and DELETE /v1/endpoints/{id}/drain, GET /v1/status, /status and /metrics.

Seen to fail first, by breaking: declared and streamed size, time, memory given back, memory of a caller and of all, early end, each of the rights, and what the reply and the log show of an unforeseen error.

--- a/currantwell/auth.py
+++ b/currantwell/auth.py
@@ -40,6 +40,10 @@
 class Authenticator(Protocol):
     """Tells from the headers of a request who sent it; header names are lower case."""
 
+    def known(self, headers: Mapping[str, str]) -> bool:
+        """Tell whether the sender is a team, an operator or an endpoint."""
+        ...
+
     def team(self, headers: Mapping[str, str], claimed: Team | None) -> Team | None:
         """Return the team that the sender acts for, None if it may not.
 
@@ -64,6 +68,10 @@
 class OpenAuthenticator:
     """Believes everyone; for hosts that only their own machine can reach."""
 
+    def known(self, headers: Mapping[str, str]) -> bool:
+        """Know everyone."""
+        return True
+
     def team(self, headers: Mapping[str, str], claimed: Team | None) -> Team | None:
         """Return the team that the request names."""
         return claimed
@@ -96,6 +104,12 @@
         self._operators = dict(operators)
         self._endpoints = None if endpoints is None else dict(endpoints)
 
+    def known(self, headers: Mapping[str, str]) -> bool:
+        """Tell whether the sender has any right."""
+        digest = _digest(headers)
+        every = (self._teams, self._operators, self._endpoints or {})
+        return any(digest in names for names in every)
+
     def team(self, headers: Mapping[str, str], claimed: Team | None) -> Team | None:
         """Return the team of the token, if the request names no other."""
         team = self._teams.get(_digest(headers))
--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -7,17 +7,22 @@
 import trio
 
 from . import events
+from .auth import OpenAuthenticator, load_tokens
 from .clock import SystemCalendar
 from .dispatcher import Dispatcher, DispatcherLimits
-from .http_api import HttpApi
+from .http_api import HttpApi, HttpParts
+from .http_body import BodyBudget
 from .http_server import HttpServer, bind
 from .ids import Epoch
 from .job_log import LocalJobLog
 from .journal import DiskJournal, Journal, MemoryJournal
 from .kernel import Kernel
+from .metrics import LoopMonitor, MeasuredJobLog, Metrics
+from .presets import FixedPreset
 from .router import Router, StaticDirectory
 from .scheduler import AdmitAll, FifoOrdering, LeastLoaded, Scheduler
 from .settings import HostSettings
+from .status import SystemStatus
 
 __all__ = ["Host", "run_host"]
 
@@ -42,20 +47,23 @@
     async def run(self, task_status: trio.TaskStatus[None]) -> bool:
         """Serve until stopped; return whether it drained in time."""
         epoch = await self._next_epoch()
+        metrics = Metrics()
         self.dispatcher = Dispatcher(
             self.settings.data_centre,
             epoch,
-            LocalJobLog(self._journal("jobs")),
+            MeasuredJobLog(LocalJobLog(self._journal("jobs")), metrics),
             Scheduler(LeastLoaded(), FifoOrdering(), AdmitAll()),
             SystemCalendar(),
             DispatcherLimits(endpoint_lease_s=self.settings.endpoint_lease_s),
+            metrics,
         )
         router = Router(StaticDirectory({self.settings.data_centre: self.dispatcher}))
-        api = HttpApi(self.settings.data_centre, router, self.dispatcher)
+        parts = self._http_parts(metrics, self.dispatcher)
+        api = HttpApi(self.settings.data_centre, router, self.dispatcher, parts)
         listener = bind(self.settings.address, self.settings.http_port)
         server = HttpServer(api.app(), listener, self.settings.drain_timeout_s)
         self.address = server.address
-        for service in (server, router, self.dispatcher):
+        for service in (LoopMonitor(metrics), server, router, self.dispatcher):
             self.kernel.register(service)
         return await self.kernel.run(task_status)
 
@@ -64,6 +72,20 @@
         events.HOST_DRAINING.log(host=self.settings.host)
         self.kernel.stop()
 
+    def _http_parts(self, metrics: Metrics, dispatcher: Dispatcher) -> HttpParts:
+        own = self.settings
+        tokens = own.tokens_file
+        status = SystemStatus(
+            own.host, own.data_centre, dispatcher, FixedPreset(), dispatcher
+        )
+        return HttpParts(
+            load_tokens(tokens) if tokens else OpenAuthenticator(),
+            BodyBudget(own.bodies_in_flight_bytes),
+            metrics,
+            dispatcher,
+            status,
+        )
+
     async def _next_epoch(self) -> Epoch:
         journal = self._journal("epoch")
         earlier = list(journal.read())
--- a/currantwell/http_api.py
+++ b/currantwell/http_api.py
@@ -1,30 +1,76 @@
-"""The HTTP interface to callers, endpoints and the balancer."""
+"""The HTTP interface to callers, endpoints and the balancer.
 
+Every reply that is no answer is a `Refusal` with a numbered result code; no error
+shows its traceback.
+"""
+
+import dataclasses
 from typing import Any
 
 import msgspec
-import trio
 from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
-from .answers import Answer, Refusal
-from .codes import ResultCode, http_status
+from .answers import Answer, Refusal, request_answer
+from .auth import Authenticator, OpenAuthenticator
+from .codes import ResultCode
 from .endpoint_protocol import Announcement
-from .errors import InvalidRequest, PeerUnreachable
+from .errors import BodyMalformed, InvalidRequest, NotAuthorized
 from .gateway import JobGateway
-from .ids import DataCentre, JobKey, Team, new_key
+from .http_body import BodyBudget, read_body
+from .http_replies import Guard, json_reply, no_route, reply, text_reply
+from .ids import (
+    DataCentre,
+    EndpointId,
+    JobKey,
+    Operator,
+    Team,
+    check_name,
+    home_of,
+    new_key,
+)
+from .metrics import LoadSource, Metrics, NoLoad
 from .router import Router
-from .submission import MAX_BODY_BYTES, decode_submission
+from .status import StatusSource
+from .status_page import render_status
+from .submission import Submission, decode_request, decode_submission
 
-__all__ = ["HttpApi"]
+__all__ = ["HttpApi", "HttpParts"]
 
 MAX_WAIT_S = 30.0
-BODY_TIMEOUT_S = 10.0
+HTML = "text/html; charset=utf-8"
+PROMETHEUS = "text/plain; version=0.0.4"
 _announcement_decoder = msgspec.json.Decoder(Announcement)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpParts:
+    """What the HTTP interface uses besides the jobs.
+
+    Parameters
+    ----------
+    authenticator : Authenticator
+        Knows the senders.
+    budget : BodyBudget
+        Memory for bodies.
+    metrics : Metrics
+        Where refusals are counted.
+    load : LoadSource
+        Knows the load of the host.
+    status : StatusSource or None
+        Knows the state of the system.
+    """
+
+    authenticator: Authenticator = dataclasses.field(default_factory=OpenAuthenticator)
+    budget: BodyBudget = dataclasses.field(default_factory=BodyBudget)
+    metrics: Metrics = dataclasses.field(default_factory=Metrics)
+    load: LoadSource = dataclasses.field(default_factory=NoLoad)
+    status: StatusSource | None = None
+
+
 class HttpApi:
     """Routes of an entry host.
 
@@ -36,115 +82,207 @@
         Finds the owners of jobs.
     gateway : JobGateway
         The owner of the jobs of this data centre.
+    parts : HttpParts or None
+        What it uses besides; None for an open host.
     """
 
     def __init__(
-        self, data_centre: DataCentre, router: Router, gateway: JobGateway
+        self,
+        data_centre: DataCentre,
+        router: Router,
+        gateway: JobGateway,
+        parts: HttpParts | None = None,
     ) -> None:
         self._data_centre = data_centre
         self._router = router
         self._gateway = gateway
+        self._parts = parts or HttpParts()
+        self._auth = self._parts.authenticator
         self.ready = True
 
     def app(self) -> Starlette:
         """Return the ASGI application."""
+        guard = Guard(self._parts.metrics)
+        routes = [
+            ("POST", "/v1/keys", self.post_key),
+            ("POST", "/v1/requests", self.post_request),
+            ("POST", "/v1/jobs", self.post_job),
+            ("GET", "/v1/jobs/{key}", self.get_job),
+            ("DELETE", "/v1/jobs/{key}", self.delete_job),
+            ("GET", "/v1/jobs/{key}/tasks", self.get_tasks),
+            ("GET", "/v1/jobs/{key}/explain", self.get_explain),
+            ("POST", "/v1/endpoints", self.post_endpoint),
+            ("GET", "/v1/endpoints", self.get_endpoints),
+            ("POST", "/v1/endpoints/{endpoint}/drain", self.post_drain),
+            ("DELETE", "/v1/endpoints/{endpoint}/drain", self.delete_drain),
+            ("GET", "/v1/status", self.get_status),
+            ("GET", "/status", self.get_status_page),
+            ("GET", "/metrics", self.get_metrics),
+            ("GET", "/healthz", self.get_health),
+            ("GET", "/readyz", self.get_ready),
+        ]
         return Starlette(
             routes=[
-                Route("/v1/keys", self.post_key, methods=["POST"]),
-                Route("/v1/jobs", self.post_job, methods=["POST"]),
-                Route("/v1/jobs/{key}", self.get_job, methods=["GET"]),
-                Route("/v1/jobs/{key}", self.delete_job, methods=["DELETE"]),
-                Route("/v1/jobs/{key}/explain", self.get_explain, methods=["GET"]),
-                Route("/v1/endpoints", self.post_endpoint, methods=["POST"]),
-                Route("/v1/endpoints", self.get_endpoints, methods=["GET"]),
-                Route("/healthz", self.get_health, methods=["GET"]),
-                Route("/readyz", self.get_ready, methods=["GET"]),
-            ]
+                Route(path, guard.wrap(handler), methods=[method])
+                for method, path, handler in routes
+            ],
+            exception_handlers={HTTPException: no_route},
         )
 
+    # Callers.
+
     async def post_key(self, request: Request) -> Response:
         """Make a submission key whose home is this data centre."""
-        return _json(200, {"key": new_key(self._data_centre)})
+        self._caller(request)
+        return json_reply(200, {"key": new_key(self._data_centre)})
 
     async def post_job(self, request: Request) -> Response:
         """Accept a job, and wait for its answer if asked to."""
-        try:
-            submission = decode_submission(await _body(request))
-            wait_s = _wait_s(request)
-        except InvalidRequest as error:
-            return _invalid(error)
-        told = await self._router.submit(submission)
-        if isinstance(told, Answer) and told.code is ResultCode.RUNNING and wait_s:
-            told = await self._router.wait(submission.team, submission.key, wait_s)
-        return _reply(told)
+        async with self._body(request) as body:
+            submission = decode_submission(body)
+        return reply(await self._submit(request, submission))
+
+    async def post_request(self, request: Request) -> Response:
+        """Accept a single request, and wait for its answer if asked to."""
+        async with self._body(request) as body:
+            submission = decode_request(body)
+        told = await self._submit(request, submission)
+        return reply(request_answer(told) if isinstance(told, Answer) else told)
 
     async def get_job(self, request: Request) -> Response:
         """Return the answer of a job, waiting for it if asked to."""
-        try:
-            wait_s = _wait_s(request)
-        except InvalidRequest as error:
-            return _invalid(error)
-        team, key = _job_names(request)
-        return _reply(await self._router.wait(team, key, wait_s))
+        wait_s = _wait_s(request)
+        team, key = self._job_names(request)
+        return reply(await self._router.wait(team, key, wait_s))
 
     async def delete_job(self, request: Request) -> Response:
         """Cancel a job."""
-        return _reply(await self._router.cancel(*_job_names(request)))
+        return reply(await self._router.cancel(*self._job_names(request)))
+
+    async def get_tasks(self, request: Request) -> Response:
+        """List the tasks of a job."""
+        told = await self._router.tasks(*self._job_names(request))
+        return reply(told) if isinstance(told, Refusal) else json_reply(200, told)
 
     async def get_explain(self, request: Request) -> Response:
         """Explain where the tasks of a job stand."""
-        told = await self._router.explain(*_job_names(request))
+        told = await self._router.explain(*self._job_names(request))
         if isinstance(told, Refusal):
-            return _reply(told)
-        return _json(200, {"lines": told})
+            return reply(told)
+        return json_reply(200, {"lines": told})
+
+    # Endpoints.
 
     async def post_endpoint(self, request: Request) -> Response:
         """Take in an endpoint's announcement."""
-        try:
-            announcement = _announcement_decoder.decode(await _body(request))
-        except (InvalidRequest, msgspec.DecodeError) as error:
-            return _reply(Refusal(ResultCode.BAD_BODY, str(error)))
+        if not self._auth.endpoint(request.headers):
+            raise NotAuthorized("endpoints announce themselves with a token")
+        async with self._body(request) as body:
+            try:
+                announcement = _announcement_decoder.decode(body)
+            except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+                raise BodyMalformed("body", str(error)) from None
+        check_name("endpoint", announcement.endpoint)
         if announcement.data_centre != self._data_centre:
             detail = f"this host serves {self._data_centre}"
-            refusal = Refusal(ResultCode.BAD_FIELD, detail, "data_centre")
-            return _reply(refusal)
-        try:
-            told = await self._gateway.announce(announcement)
-        except PeerUnreachable as error:
-            told = Refusal(ResultCode.UNKNOWN_OWNER_UNREACHABLE, str(error))
-        if isinstance(told, Refusal):
-            return _reply(told)
-        return _json(200, told)
+            raise InvalidRequest("data_centre", detail)
+        told = await self._gateway.announce(announcement)
+        return reply(told) if isinstance(told, Refusal) else json_reply(200, told)
 
     async def get_endpoints(self, request: Request) -> Response:
         """List the endpoints of this data centre."""
+        self._operator(request)
         told = await self._gateway.endpoints()
-        if isinstance(told, Refusal):
-            return _reply(told)
-        return _json(200, told)
+        return reply(told) if isinstance(told, Refusal) else json_reply(200, told)
+
+    async def post_drain(self, request: Request) -> Response:
+        """Have an endpoint get no new starts."""
+        return await self._drain(request, True)
+
+    async def delete_drain(self, request: Request) -> Response:
+        """Have a drained endpoint get new starts again."""
+        return await self._drain(request, False)
+
+    # Operators and machines.
+
+    async def get_status(self, request: Request) -> Response:
+        """Return the state of the system."""
+        self._operator(request)
+        if self._parts.status is None:
+            return reply(Refusal(ResultCode.NOT_FOUND, "this host keeps no status"))
+        return json_reply(200, await self._parts.status.status())
+
+    async def get_status_page(self, request: Request) -> Response:
+        """Return the state of the system for people."""
+        if self._auth.operator(request.headers) is None:
+            headers = {"www-authenticate": 'Basic realm="operator token"'}
+            return Response("An operator's token, please.", 401, headers)
+        if self._parts.status is None:
+            return reply(Refusal(ResultCode.NOT_FOUND, "this host keeps no status"))
+        return text_reply(render_status(await self._parts.status.status()), HTML)
+
+    async def get_metrics(self, request: Request) -> Response:
+        """Return the metrics."""
+        load = self._parts.load.load()
+        return text_reply(self._parts.metrics.text(load), PROMETHEUS)
 
     async def get_health(self, request: Request) -> Response:
         """Say that the process serves."""
-        return _json(200, {"status": "alive"})
+        return json_reply(200, {"status": "alive"})
 
     async def get_ready(self, request: Request) -> Response:
         """Say whether the balancer should send new work here."""
-        return _json(200 if self.ready else 503, {"ready": self.ready})
+        return json_reply(200 if self.ready else 503, {"ready": self.ready})
+
+    # What they share.
+
+    async def _submit(
+        self, request: Request, submission: Submission
+    ) -> Answer | Refusal:
+        wait_s = _wait_s(request)
+        self._team(request, submission.team)
+        told = await self._router.submit(submission)
+        if isinstance(told, Answer) and told.code is ResultCode.RUNNING and wait_s:
+            told = await self._router.wait(submission.team, submission.key, wait_s)
+        return told
+
+    async def _drain(self, request: Request, draining: bool) -> Response:
+        operator = self._operator(request)
+        endpoint = EndpointId(request.path_params["endpoint"])
+        refusal = await self._gateway.drain_endpoint(endpoint, draining, operator)
+        if refusal is not None:
+            return reply(refusal)
+        return json_reply(200, {"endpoint": endpoint, "draining": draining})
+
+    def _body(self, request: Request) -> Any:
+        return read_body(request, self._parts.budget, self._caller(request))
 
+    def _caller(self, request: Request) -> str:
+        """Return whose memory a request uses."""
+        if not self._auth.known(request.headers):
+            raise NotAuthorized("the request carries no known token")
+        address = request.client.host if request.client else ""
+        return self._auth.team(request.headers, None) or address
 
-async def _body(request: Request) -> bytes:
-    """Return the whole body, bounded in size and time."""
-    chunks: list[bytes] = []
-    size = 0
-    with trio.move_on_after(BODY_TIMEOUT_S) as scope:
-        async for chunk in request.stream():
-            size += len(chunk)
-            if size > MAX_BODY_BYTES:
-                raise InvalidRequest("body", f"is larger than {MAX_BODY_BYTES} bytes")
-            chunks.append(chunk)
-    if scope.cancelled_caught:
-        raise InvalidRequest("body", f"did not arrive within {BODY_TIMEOUT_S} s")
-    return b"".join(chunks)
+    def _team(self, request: Request, claimed: Team | None) -> Team:
+        team = self._auth.team(request.headers, claimed)
+        if team is None:
+            raise NotAuthorized("neither a team nor its token was given")
+        return team
+
+    def _operator(self, request: Request) -> Operator:
+        operator = self._auth.operator(request.headers)
+        if operator is None:
+            raise NotAuthorized("only operators may do this")
+        return operator
+
+    def _job_names(self, request: Request) -> tuple[Team, JobKey]:
+        named = request.query_params.get("team")
+        if named is not None:
+            check_name("team", named)
+        key = JobKey(request.path_params["key"])
+        home_of(key)
+        return self._team(request, Team(named) if named else None), key
 
 
 def _wait_s(request: Request) -> float:
@@ -152,24 +290,7 @@
     try:
         wait_s = float(text)
     except ValueError:
-        raise InvalidRequest("wait_s", f"{text!r} is not a number") from None
+        raise InvalidRequest("wait_s", "is not a number") from None
     if not 0 <= wait_s <= MAX_WAIT_S:
-        raise InvalidRequest("wait_s", f"{text} is not between 0 and {MAX_WAIT_S}")
+        raise InvalidRequest("wait_s", f"is not between 0 and {MAX_WAIT_S}")
     return wait_s
-
-
-def _job_names(request: Request) -> tuple[Team, JobKey]:
-    team = Team(request.query_params.get("team", ""))
-    return team, JobKey(request.path_params["key"])
-
-
-def _json(status: int, value: Any) -> Response:
-    return Response(msgspec.json.encode(value), status, media_type="application/json")
-
-
-def _reply(told: Answer | Refusal) -> Response:
-    return _json(http_status(told.code), told)
-
-
-def _invalid(error: InvalidRequest) -> Response:
-    return _reply(Refusal(ResultCode.BAD_FIELD, error.reason, error.field))
