--- a/currantwell/cli/endpoint.py
+++ b/currantwell/cli/endpoint.py
@@ -42,6 +42,8 @@
 @click.option("--accelerators", default=0, help="Accelerators it has.")
 @click.option("--speed", default=1.0, help="Divides run times.")
 @click.option("--seed", default=0, help="Seed of its faults.")
+@click.option("--port", default=0, help="Port; 0 lets the kernel pick one.")
+@click.option("--public-url", help="URL that it announces, if not its own.")
 def emulate(
     name: str,
     data_centre: str,
@@ -52,6 +54,8 @@
     accelerators: int,
     speed: float,
     seed: int,
+    port: int,
+    public_url: str | None,
 ) -> None:
     """Run an emulated endpoint until it is stopped."""
     settings = EmulatorSettings(
@@ -63,6 +67,8 @@
         queue=queue,
         accelerators=accelerators,
         seed=seed,
+        port=port,
+        public_url=public_url,
     )
 
     async def serve() -> None:
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -224,6 +224,7 @@
         self.starts_refused += len(reply.refused)
         ended = [AttemptEnded(refused.ref, refused.code) for refused in reply.refused]
         if ended:
+            self._scheduler.endpoint_refused(endpoint)
             await self._end(ended, {})
 
     async def results_arrived(
--- a/currantwell/emulator.py
+++ b/currantwell/emulator.py
@@ -101,6 +101,7 @@
     memory_mb: int = 65_536
     accelerators: int = 0
     seed: int = 0
+    public_url: str | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -427,7 +428,8 @@
     """
     emulator = EmulatedEndpoint(settings, faults)
     server = HttpServer(emulator.app(), bind(settings.address, settings.port))
-    emulator.url = f"http://{server.address[0]}:{server.address[1]}"
+    own_url = f"http://{server.address[0]}:{server.address[1]}"
+    emulator.url = settings.public_url or own_url
     kernel = Kernel()
     kernel.register(emulator)
     kernel.register(server)
--- a/currantwell/endpoint_link.py
+++ b/currantwell/endpoint_link.py
@@ -181,7 +181,7 @@
         while True:
             path = f"/v1/results?epoch={self.epoch}&after={self._acked_seq}"
             try:
-                async with self._client.stream(path) as pieces:
+                async with self._client.stream(path, SILENCE_S) as pieces:
                     await self._listen(pieces)
             except EndpointUnreachable:
                 self._owner.endpoint_answers(self.endpoint, False)
@@ -189,12 +189,7 @@
 
     async def _listen(self, pieces: AsyncIterator[bytes]) -> None:
         rest = b""
-        while True:
-            piece: bytes | None = None
-            with trio.move_on_after(SILENCE_S):
-                piece = await anext(pieces, None)
-            if piece is None:
-                raise EndpointUnreachable(f"{self.endpoint}: silent")
+        async for piece in pieces:
             self._owner.endpoint_answers(self.endpoint, True)
             *lines, rest = (rest + piece).split(b"\n")
             await self._take([_line_decoder.decode(line) for line in lines if line])
--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -38,6 +38,7 @@
         self.kernel = Kernel(settings.drain_timeout_s)
         self.dispatcher: Dispatcher | None = None
         self.address: tuple[str, int] | None = None
+        self._api: HttpApi | None = None
 
     async def run(self, task_status: trio.TaskStatus[None]) -> bool:
         """Serve until stopped; return whether it drained in time."""
@@ -51,7 +52,7 @@
             DispatcherLimits(endpoint_lease_s=self.settings.endpoint_lease_s),
         )
         router = Router(StaticDirectory({self.settings.data_centre: self.dispatcher}))
-        api = HttpApi(self.settings.data_centre, router, self.dispatcher)
+        self._api = api = HttpApi(self.settings.data_centre, router, self.dispatcher)
         listener = bind(self.settings.address, self.settings.http_port)
         server = HttpServer(api.app(), listener, self.settings.drain_timeout_s)
         self.address = server.address
@@ -62,6 +63,8 @@
     def stop(self) -> None:
         """Finish the requests in progress and stop."""
         events.HOST_DRAINING.log(host=self.settings.host)
+        if self._api is not None:
+            self._api.ready = False
         self.kernel.stop()
 
     async def _next_epoch(self) -> Epoch:
--- a/currantwell/http_client.py
+++ b/currantwell/http_client.py
@@ -34,6 +34,7 @@
 
     A request that runs out of time closes its connection, so that the next one
     opens another: a connection may have gone silent for good while new ones work.
+    At most one idle connection is kept, lest several silent ones be tried in turn.
 
     Parameters
     ----------
@@ -53,7 +54,9 @@
         if token is not None:
             self._headers.append((b"authorization", b"Bearer " + token.encode()))
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections, keepalive_expiry=KEEPALIVE_S
+            max_connections=max_connections,
+            max_keepalive_connections=1,
+            keepalive_expiry=KEEPALIVE_S,
         )
 
     async def request(
@@ -79,17 +82,30 @@
         return HttpReply(reply.status, reply.content)
 
     @asynccontextmanager
-    async def stream(self, path: str) -> AsyncIterator[AsyncIterator[bytes]]:
+    async def stream(
+        self, path: str, silence_s: float
+    ) -> AsyncIterator[AsyncIterator[bytes]]:
         """Open a long-lived GET and yield an iterator over pieces of its body.
 
+        Parameters
+        ----------
+        path : str
+            Path and query.
+        silence_s : float
+            Longest time without a piece, from the opening on.
+
         Raises
         ------
         EndpointUnreachable
-            If it can't be opened or breaks.
+            If it can't be opened, breaks or falls silent.
         """
+        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), silence_s)
         try:
             async with self._pool.stream(
-                "GET", self._url + path, headers=self._headers
+                "GET",
+                self._url + path,
+                headers=self._headers,
+                extensions={"timeout": timeouts},
             ) as reply:
                 if reply.status != 200:
                     await reply.aread()
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -78,11 +78,19 @@
         The attempts placed there that have not ended.
     reachable : bool
         Whether it answers now.
+    refusing : bool
+        Whether it has refused a start since it last announced itself.
     """
 
     announcement: Announcement
     running: dict[AttemptRef, WaitingTask]
     reachable: bool = True
+    refusing: bool = False
+
+    @property
+    def usable(self) -> bool:
+        """Whether it may get starts now."""
+        return self.reachable and not self.refusing and not self.announcement.draining
 
     @property
     def id(self) -> EndpointId:
@@ -93,7 +101,7 @@
         """Tell whether the endpoint has room for a task now."""
         said = self.announcement
         held = self.running.values()
-        if said.draining or not self.reachable or len(held) >= said.slots:
+        if not self.usable or len(held) >= said.slots:
             return False
         return (
             self.could_run(spec)
@@ -302,12 +310,18 @@
             load = EndpointLoad(announcement, running)
             self._endpoints[announcement.endpoint] = load
         load.announcement = announcement
+        load.refusing = False
 
     def endpoint_reachable(self, endpoint: EndpointId, reachable: bool) -> None:
         """Note whether an endpoint answers; one that does not gets no start."""
         if endpoint in self._endpoints:
             self._endpoints[endpoint].reachable = reachable
 
+    def endpoint_refused(self, endpoint: EndpointId) -> None:
+        """Place nothing at an endpoint until it announces itself again."""
+        if endpoint in self._endpoints:
+            self._endpoints[endpoint].refusing = True
+
     def endpoint_removed(self, endpoint: EndpointId) -> None:
         """Forget an endpoint; its attempts stay placed until they end."""
         self._endpoints.pop(endpoint, None)
@@ -315,7 +329,7 @@
     def plan(self, now_s: float) -> list[PlacedTask]:
         """Place waiting tasks; each returned placement counts as started."""
         placed: list[PlacedTask] = []
-        room = [load for load in self._endpoints.values() if load.reachable]
+        room = [load for load in self._endpoints.values() if load.usable]
         for task in self._ordering.candidates(now_s):
             if not room:
                 break
