--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -43,6 +43,7 @@
         self.kernel = Kernel(settings.drain_timeout_s)
         self.dispatcher: Dispatcher | None = None
         self.address: tuple[str, int] | None = None
+        self._api: HttpApi | None = None
 
     async def run(self, task_status: trio.TaskStatus[None]) -> bool:
         """Serve until stopped; return whether it drained in time."""
@@ -60,6 +61,7 @@
         router = Router(StaticDirectory({self.settings.data_centre: self.dispatcher}))
         parts = self._http_parts(metrics, self.dispatcher)
         api = HttpApi(self.settings.data_centre, router, self.dispatcher, parts)
+        self._api = api
         listener = bind(self.settings.address, self.settings.http_port)
         server = HttpServer(api.app(), listener, self.settings.drain_timeout_s)
         self.address = server.address
@@ -70,6 +72,8 @@
     def stop(self) -> None:
         """Finish the requests in progress and stop."""
         events.HOST_DRAINING.log(host=self.settings.host)
+        if self._api is not None:
+            self._api.ready = False
         self.kernel.stop()
 
     def _http_parts(self, metrics: Metrics, dispatcher: Dispatcher) -> HttpParts:
