Follow jobs and endpoints from the command line, over several entry hosts

Cause: the command line could submit and wait only, through one host, and an unknown outcome was handed to the caller though asking again with the same key is safe.

Ruled out: passing a "not run" on to the next host, since a silent second host would turn a known outcome into an unknown one; a poll of ten seconds, since a frozen host was then passed over after fifteen.

Change: Client takes several URLs, passes over hosts that do not answer, and asks again while the outcome is unknown. New commands: job cancel, tasks and explain, endpoint drain and resume, status. Exit codes follow from result codes in exit_codes.py.

Seen to fail first, by breaking: the next host, asking again, "not run" as the end, the end of the time, refusals raised, the drain at host and endpoint, plain words, and the exit code of INTERNAL.

--- a/currantwell/cli/__init__.py
+++ b/currantwell/cli/__init__.py
@@ -8,6 +8,7 @@
 from .host import host
 from .job import job
 from .settings import settings
+from .status import status
 from .token import token
 
 __all__ = ["main"]
@@ -19,5 +20,5 @@
     """Dispatch sub-second tasks."""
 
 
-for _command in (demo, endpoint, host, job, settings, token):
+for _command in (demo, endpoint, host, job, settings, status, token):
     main.add_command(_command)
--- a/currantwell/cli/endpoint.py
+++ b/currantwell/cli/endpoint.py
@@ -3,12 +3,13 @@
 import json
 
 import click
-import msgspec
 import trio
 
 from ..client import Client
 from ..emulator import EmulatorSettings, Faults, run_emulator
 from ..ids import DataCentre, EndpointId, Rack
+from .session import as_json, ask_hosts, connection, echo_json
+from .status import endpoint_line
 
 __all__ = ["endpoint"]
 
@@ -19,17 +20,32 @@
 
 
 @endpoint.command("list")
-@click.option("--url", required=True, help="An entry host.")
-def list_endpoints(url: str) -> None:
+@as_json
+@connection
+def list_endpoints(client: Client, as_json: bool) -> None:
     """List the endpoints of a host's data centre."""
+    announcements = ask_hosts(client, client.endpoints)
+    if as_json:
+        echo_json(announcements)
+        return
+    for announcement in announcements:
+        click.echo(endpoint_line(announcement))
 
-    async def ask() -> None:
-        client = Client(url)
-        for announcement in await client.endpoints():
-            click.echo(msgspec.json.encode(announcement).decode())
-        await client.close()
 
-    trio.run(ask)
+@endpoint.command()
+@click.argument("name", type=EndpointId)
+@connection
+def drain(client: Client, name: EndpointId) -> None:
+    """Have an endpoint get no new starts; what runs there goes on."""
+    ask_hosts(client, client.drain_endpoint, name, True)
+
+
+@endpoint.command()
+@click.argument("name", type=EndpointId)
+@connection
+def resume(client: Client, name: EndpointId) -> None:
+    """Have a drained endpoint get new starts again."""
+    ask_hosts(client, client.drain_endpoint, name, False)
 
 
 @endpoint.command()
@@ -43,6 +59,7 @@
 @click.option("--speed", default=1.0, help="Divides run times.")
 @click.option("--seed", default=0, help="Seed of its faults.")
 @click.option("--port", default=0, help="Port; 0 lets the kernel pick one.")
+@click.option("--token", envvar="CURRANTWELL_TOKEN", help="Token of an endpoint.")
 @click.option("--public-url", help="URL that it announces, if not its own.")
 def emulate(
     name: str,
@@ -55,6 +72,7 @@
     speed: float,
     seed: int,
     port: int,
+    token: str | None,
     public_url: str | None,
 ) -> None:
     """Run an emulated endpoint until it is stopped."""
@@ -69,6 +87,7 @@
         seed=seed,
         port=port,
         public_url=public_url,
+        token=token,
     )
 
     async def serve() -> None:
--- a/currantwell/cli/host.py
+++ b/currantwell/cli/host.py
@@ -7,14 +7,12 @@
 import trio
 
 from ..errors import SettingsInvalid
+from ..exit_codes import ExitCode
 from ..host import run_host
 from ..settings import load_settings
 
 __all__ = ["host"]
 
-EXIT_NOT_DRAINED = 1
-EXIT_SETTINGS = 2
-
 
 @click.group()
 def host() -> None:
@@ -36,6 +34,6 @@
     except SettingsInvalid as error:
         for problem in error.problems:
             click.echo(problem, err=True)
-        sys.exit(EXIT_SETTINGS)
+        sys.exit(int(ExitCode.USAGE))
     drained = trio.run(run_host, settings)
-    sys.exit(0 if drained else EXIT_NOT_DRAINED)
+    sys.exit(0 if drained else int(ExitCode.FAILED))
--- a/currantwell/cli/job.py
+++ b/currantwell/cli/job.py
@@ -1,25 +1,30 @@
-"""``currantwell job``: submit jobs and ask after them."""
+"""``currantwell job``: submit jobs and ask after them.
+
+Answers are printed as JSON on the standard output, words for people on the other.
+"""
 
 import sys
 from pathlib import Path
+from typing import NoReturn
 
 import click
 import msgspec
 import trio
 
-from ..answers import Answer, Refusal
+from ..answers import Answer, Refusal, TaskState, TaskStatus
 from ..client import Client
-from ..codes import ResultCode, is_not_run, is_unknown
+from ..codes import ResultCode
+from ..errors import EndpointUnreachable, RequestRefused
+from ..exit_codes import ExitCode, exit_code
 from ..ids import JobKey, Team
 from ..submission import Submission, TaskSpec
+from .session import as_json, ask_hosts, connection, echo_json, fail
 
 __all__ = ["job"]
 
-EXIT_FAILED = 1
-EXIT_NOT_RUN = 3
-EXIT_UNKNOWN = 4
-EXIT_BAD_REQUEST = 5
-EXIT_RUNNING = 6
+PROGRESS_INTERVAL_S = 1.0
+_team = click.option("--team", type=Team, help="The team, if no token names it.")
+_key = click.argument("key", type=JobKey)
 
 
 class JobFile(msgspec.Struct, forbid_unknown_fields=True):
@@ -37,57 +42,119 @@
 
 @job.command()
 @click.argument("path", type=click.Path(path_type=Path, exists=True))
-@click.option("--url", required=True, help="An entry host.")
-@click.option("--key", help="Key of an earlier submission of the same job.")
+@click.option("--key", type=JobKey, help="Key of an earlier submission of the job.")
 @click.option("--wait-s", default=60.0, help="How long to wait for the answer.")
-def submit(path: Path, url: str, key: str | None, wait_s: float) -> None:
+@click.option("--progress", is_flag=True, help="Say how many tasks have ended.")
+@connection
+def submit(
+    client: Client, path: Path, key: JobKey | None, wait_s: float, progress: bool
+) -> None:
     """Submit the job in a JSON file and print its answer."""
-    told = trio.run(_submit, path, url, key, wait_s)
-    _finish(told)
+    try:
+        job_file = msgspec.json.decode(path.read_bytes(), type=JobFile)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        fail(f"{path}: {error}", ExitCode.REFUSED)
+    shown = progress or sys.stderr.isatty()
+    _finish(ask_hosts(client, _run, client, job_file, key, wait_s, shown))
 
 
 @job.command()
-@click.argument("key")
-@click.option("--url", required=True, help="An entry host.")
-@click.option("--team", required=True, help="The team that submitted.")
+@_key
+@_team
 @click.option("--wait-s", default=10.0, help="How long to wait for the answer.")
-def wait(key: str, url: str, team: str, wait_s: float) -> None:
+@connection
+def wait(client: Client, key: JobKey, team: Team | None, wait_s: float) -> None:
     """Print the answer of a job."""
+    _finish(ask_hosts(client, client.wait, team, key, wait_s))
 
-    async def ask() -> Answer | Refusal:
-        client = Client(url)
-        told = await client.wait(Team(team), JobKey(key), wait_s)
-        await client.close()
-        return told
 
-    _finish(trio.run(ask))
+@job.command()
+@_key
+@_team
+@connection
+def cancel(client: Client, key: JobKey, team: Team | None) -> None:
+    """Start nothing more of a job and stop what runs."""
+    _finish(ask_hosts(client, client.cancel, team, key))
 
 
-async def _submit(
-    path: Path, url: str, key: str | None, wait_s: float
-) -> Answer | Refusal:
-    job_file = msgspec.json.decode(path.read_bytes(), type=JobFile)
-    client = Client(url)
-    job_key = JobKey(key) if key else await client.new_key()
-    click.echo(f"key {job_key}", err=True)
-    submission = Submission(job_key, job_file.team, job_file.tasks, job_file.deadline_s)
-    told = await client.run(submission, wait_s)
-    await client.close()
-    return told
+@job.command()
+@_key
+@_team
+@as_json
+@connection
+def tasks(client: Client, key: JobKey, team: Team | None, as_json: bool) -> None:
+    """List the tasks of a job."""
+    statuses = ask_hosts(client, client.tasks, team, key)
+    if as_json:
+        echo_json(statuses)
+        return
+    for status in statuses:
+        click.echo(_task_line(status))
 
 
-def _finish(told: Answer | Refusal) -> None:
-    click.echo(msgspec.json.encode(told).decode())
-    sys.exit(_exit_code(told.code))
+@job.command()
+@_key
+@_team
+@as_json
+@connection
+def explain(client: Client, key: JobKey, team: Team | None, as_json: bool) -> None:
+    """Say why the tasks of a job stand where they stand."""
+    lines = ask_hosts(client, client.explain, team, key)
+    if isinstance(lines, Refusal):
+        _finish(lines)
+    if as_json:
+        echo_json(lines)
+        return
+    for line in lines:
+        click.echo(line)
+
+
+async def _run(
+    client: Client,
+    job_file: JobFile,
+    key: JobKey | None,
+    wait_s: float,
+    shown: bool,
+) -> Answer | Refusal:
+    key = key or await client.new_key()
+    click.echo(f"key {key}", err=True)
+    submission = Submission(key, job_file.team, job_file.tasks, job_file.deadline_s)
+    async with trio.open_nursery() as nursery:
+        if shown:
+            nursery.start_soon(_show_progress, client, submission)
+        told = await client.run(submission, wait_s)
+        nursery.cancel_scope.cancel()
+    return told
 
 
-def _exit_code(code: ResultCode) -> int:
-    if code is ResultCode.COMPLETE:
-        return 0
-    if code is ResultCode.RUNNING:
-        return EXIT_RUNNING
-    if is_not_run(code):
-        return EXIT_NOT_RUN
-    if is_unknown(code):
-        return EXIT_UNKNOWN
-    return EXIT_FAILED if code >= ResultCode.TASK_FAILED else EXIT_BAD_REQUEST
+async def _show_progress(client: Client, submission: Submission) -> None:
+    while True:
+        await trio.sleep(PROGRESS_INTERVAL_S)
+        try:
+            statuses = await client.tasks(submission.team, submission.key)
+        except (EndpointUnreachable, RequestRefused):
+            continue
+        ended = sum(
+            status.state not in (TaskState.WAITING, TaskState.STARTED)
+            for status in statuses
+        )
+        click.echo(f"{ended} of {len(statuses)} tasks have ended", err=True)
+
+
+def _task_line(status: TaskStatus) -> str:
+    words = [
+        f"task {status.task}: {status.state.value}",
+        f"at {status.endpoint}" if status.endpoint else "",
+        f"attempt {status.attempts}" if status.attempts else "",
+        status.code.name if status.code is not ResultCode.ACCEPTED else "",
+        status.detail,
+    ]
+    return ", ".join(word for word in words if word)
+
+
+def _finish(told: Answer | Refusal) -> NoReturn:
+    echo_json(told)
+    if isinstance(told, Refusal):
+        field = f" ({told.field})" if told.field else ""
+        click.echo(f"{told.code.name}{field}: {told.detail}", err=True)
+    sys.exit(int(exit_code(told.code)))
--- a/currantwell/cli/settings.py
+++ b/currantwell/cli/settings.py
@@ -8,11 +8,11 @@
 import click
 
 from ..errors import SettingsInvalid
+from ..exit_codes import ExitCode
 from ..settings import load_settings, show_settings, write_key
 
 __all__ = ["settings"]
 
-EXIT_SETTINGS = 2
 _PATH = click.Path(path_type=Path)
 
 
@@ -57,10 +57,10 @@
         write_key(path)
     except OSError as error:
         click.echo(f"{path}: {error.strerror}", err=True)
-        sys.exit(EXIT_SETTINGS)
+        sys.exit(int(ExitCode.USAGE))
 
 
 def _fail(error: SettingsInvalid) -> None:
     for problem in error.problems:
         click.echo(problem, err=True)
-    sys.exit(EXIT_SETTINGS)
+    sys.exit(int(ExitCode.USAGE))
--- a/currantwell/client.py
+++ b/currantwell/client.py
@@ -1,36 +1,51 @@
-"""The high-level API for callers and operators; the command line uses this alone."""
+"""The high-level API for callers and operators; the command line uses this alone.
+
+A request that an entry host leaves unanswered goes to the next one. That is safe for
+jobs, since their key makes every resubmission find the first, and for the rest, since
+asking and draining may be done twice.
+"""
 
 import dataclasses
+from collections.abc import Sequence
+from typing import Any, TypeVar
 
 import msgspec
+import trio
 
-from .answers import Answer, Refusal
-from .codes import ResultCode
+from .answers import Answer, Refusal, TaskStatus
+from .clock import now_s
+from .codes import ResultCode, is_unknown
 from .endpoint_protocol import Announcement
-from .errors import EndpointUnreachable
+from .errors import EndpointUnreachable, RequestRefused
 from .http_client import HttpClient, HttpReply
-from .ids import JobKey, Team
+from .ids import EndpointId, JobKey, Team
+from .status import Status
 from .submission import Submission
 
 __all__ = ["Client"]
 
 REQUEST_TIMEOUT_S = 5.0
-POLL_WAIT_S = 10.0
+ANSWER_SLACK_S = 3.0
+POLL_WAIT_S = 2.0
+RETRY_PAUSE_S = 0.2
+T = TypeVar("T")
 
 
 class Client:
-    """Talks to any entry host.
+    """Talks to entry hosts.
 
     Parameters
     ----------
-    url : str
-        The entry host, or the balancer before them.
+    urls : str or sequence of str
+        Entry hosts, or the balancer before them; the first that answers is used.
     token : str or None
-        The caller's token.
+        The token of a team or an operator.
     """
 
-    def __init__(self, url: str, token: str | None = None) -> None:
-        self._http = HttpClient(url, token=token)
+    def __init__(self, urls: str | Sequence[str], token: str | None = None) -> None:
+        listed = [urls] if isinstance(urls, str) else list(urls)
+        self._hosts = [HttpClient(url, token=token) for url in listed]
+        self._current = 0
 
     async def new_key(self) -> JobKey:
         """Return a submission key whose home is the host's data centre.
@@ -38,10 +53,11 @@
         Raises
         ------
         EndpointUnreachable
-            If the host does not answer.
+            If no host answers.
+        RequestRefused
+            If the host refuses.
         """
-        reply = await self._http.request("POST", "/v1/keys")
-        return JobKey(msgspec.json.decode(reply.body)["key"])
+        return (await self._get("POST", "/v1/keys", dict[str, JobKey]))["key"]
 
     async def submit(
         self, submission: Submission, wait_s: float = 0.0
@@ -51,56 +67,117 @@
         Returns
         -------
         Answer or Refusal
-            What the host said; ``UNKNOWN_OWNER_UNREACHABLE`` if it said nothing.
+            What the host said; ``UNKNOWN_OWNER_UNREACHABLE`` if none said anything.
         """
         body = msgspec.json.encode(submission)
         return await self._ask("POST", f"/v1/jobs?wait_s={wait_s}", body, wait_s)
 
-    async def wait(self, team: Team, key: JobKey, wait_s: float) -> Answer | Refusal:
+    async def wait(
+        self, team: Team | None, key: JobKey, wait_s: float
+    ) -> Answer | Refusal:
         """Return the answer of a job, or its state once the time is up."""
-        path = f"/v1/jobs/{key}?team={team}&wait_s={wait_s}"
+        path = _job_path(team, key, "", f"wait_s={wait_s}")
         return await self._ask("GET", path, b"", wait_s)
 
     async def run(self, submission: Submission, timeout_s: float) -> Answer | Refusal:
-        """Submit a job and wait for its answer, asking again after silence."""
-        waited_s = 0.0
+        """Submit a job and wait for its answer, asking again while it is unknown."""
+        end_s = now_s() + timeout_s
         told = await self.submit(submission, min(POLL_WAIT_S, timeout_s))
-        while told.code is ResultCode.RUNNING and waited_s < timeout_s:
-            waited_s += POLL_WAIT_S
-            told = await self.wait(submission.team, submission.key, POLL_WAIT_S)
+        while now_s() < end_s:
+            wait_s = max(0.0, min(POLL_WAIT_S, end_s - now_s()))
+            if told.code is ResultCode.RUNNING:
+                told = await self.wait(submission.team, submission.key, wait_s)
+            elif is_unknown(told.code):
+                await trio.sleep(RETRY_PAUSE_S)
+                self._next_host()
+                told = await self.submit(submission, wait_s)
+            else:
+                break
         return told
 
-    async def cancel(self, team: Team, key: JobKey) -> Answer | Refusal:
+    async def cancel(self, team: Team | None, key: JobKey) -> Answer | Refusal:
         """Cancel a job."""
-        return await self._ask("DELETE", f"/v1/jobs/{key}?team={team}", b"", 0.0)
+        return await self._ask("DELETE", _job_path(team, key), b"", 0.0)
+
+    async def tasks(self, team: Team | None, key: JobKey) -> list[TaskStatus]:
+        """Return where each task of a job stands.
+
+        Raises
+        ------
+        EndpointUnreachable
+            If no host answers.
+        RequestRefused
+            If the host refuses.
+        """
+        return await self._get("GET", _job_path(team, key, "/tasks"), list[TaskStatus])
 
-    async def explain(self, team: Team, key: JobKey) -> list[str] | Refusal:
+    async def explain(self, team: Team | None, key: JobKey) -> list[str] | Refusal:
         """Return why the tasks of a job stand where they stand."""
-        path = f"/v1/jobs/{key}/explain?team={team}"
-        reply = await self._http.request("GET", path, b"", REQUEST_TIMEOUT_S)
-        if reply.status != 200:
-            return msgspec.json.decode(reply.body, type=Refusal)
-        return [str(line) for line in msgspec.json.decode(reply.body)["lines"]]
+        path = _job_path(team, key, "/explain")
+        try:
+            return (await self._get("GET", path, dict[str, list[str]]))["lines"]
+        except RequestRefused as error:
+            return Refusal(error.code, error.detail)
 
     async def endpoints(self) -> list[Announcement]:
-        """Return the endpoints of the host's data centre."""
-        reply = await self._http.request("GET", "/v1/endpoints")
-        return msgspec.json.decode(reply.body, type=list[Announcement])
+        """Return the endpoints of the host's data centre; asks as `tasks` does."""
+        return await self._get("GET", "/v1/endpoints", list[Announcement])
+
+    async def drain_endpoint(self, endpoint: EndpointId, draining: bool = True) -> None:
+        """Have an endpoint get no new starts, or get them again; as `tasks`."""
+        method = "POST" if draining else "DELETE"
+        await self._get(method, f"/v1/endpoints/{endpoint}/drain", dict[str, Any])
+
+    async def status(self) -> Status:
+        """Return what the host knows of the system; asks as `tasks` does."""
+        return await self._get("GET", "/v1/status", Status)
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._http.close()
+        for host in self._hosts:
+            await host.close()
+
+    def _next_host(self) -> None:
+        self._current = (self._current + 1) % len(self._hosts)
+
+    async def _request(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> HttpReply:
+        for _ in self._hosts[1:]:
+            try:
+                host = self._hosts[self._current]
+                return await host.request(method, path, body, timeout_s)
+            except EndpointUnreachable:
+                self._next_host()
+        try:
+            return await self._hosts[self._current].request(
+                method, path, body, timeout_s
+            )
+        except EndpointUnreachable:
+            self._next_host()
+            raise
+
+    async def _get(self, method: str, path: str, kind: type[T]) -> T:
+        reply = await self._request(method, path, b"", REQUEST_TIMEOUT_S)
+        if reply.status != 200:
+            refusal = _decode_refusal(reply)
+            raise RequestRefused(refusal.code, refusal.detail)
+        return msgspec.json.decode(reply.body, type=kind)
 
     async def _ask(
         self, method: str, path: str, body: bytes, wait_s: float
     ) -> Answer | Refusal:
         try:
-            reply = await self._http.request(
-                method, path, body, REQUEST_TIMEOUT_S + wait_s
-            )
+            timeout_s = ANSWER_SLACK_S + wait_s
+            reply = await self._request(method, path, body, timeout_s)
         except EndpointUnreachable as error:
             return Refusal(ResultCode.UNKNOWN_OWNER_UNREACHABLE, str(error))
-        return _decode(reply)
+        try:
+            if msgspec.json.decode(reply.body, type=_Shape).state is not None:
+                return msgspec.json.decode(reply.body, type=Answer)
+        except msgspec.DecodeError:
+            pass
+        return _decode_refusal(reply)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,11 +187,16 @@
     state: str | None = None
 
 
-def _decode(reply: HttpReply) -> Answer | Refusal:
+def _decode_refusal(reply: HttpReply) -> Refusal:
     try:
-        if msgspec.json.decode(reply.body, type=_Shape).state is None:
-            return msgspec.json.decode(reply.body, type=Refusal)
-        return msgspec.json.decode(reply.body, type=Answer)
+        return msgspec.json.decode(reply.body, type=Refusal)
     except msgspec.DecodeError:
         detail = f"status {reply.status} without a readable body"
         return Refusal(ResultCode.UNKNOWN_OWNER_UNREACHABLE, detail)
+
+
+def _job_path(team: Team | None, key: JobKey, part: str = "", query: str = "") -> str:
+    queries = [f"team={team}"] if team else []
+    if query:
+        queries.append(query)
+    return f"/v1/jobs/{key}{part}?{'&'.join(queries)}"
--- a/currantwell/emulator.py
+++ b/currantwell/emulator.py
@@ -102,6 +102,7 @@
     accelerators: int = 0
     seed: int = 0
     public_url: str | None = None
+    token: str | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -169,7 +170,8 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             for url in self._settings.entry_urls:
-                nursery.start_soon(self._announce_loop, HttpClient(url))
+                client = HttpClient(url, token=self._settings.token)
+                nursery.start_soon(self._announce_loop, client)
             nursery.start_soon(self._lease_loop)
             task_status.started()
 
--- a/currantwell/errors.py
+++ b/currantwell/errors.py
@@ -15,6 +15,7 @@
     "JournalDamaged",
     "NotAuthorized",
     "PeerUnreachable",
+    "RequestRefused",
     "ServiceMissing",
     "SettingsInvalid",
     "StorageFailed",
@@ -87,6 +88,23 @@
         self.problems = problems
 
 
+class RequestRefused(CurrantwellError):
+    """A request that a host refused.
+
+    Parameters
+    ----------
+    code : ResultCode
+        Why.
+    detail : str
+        What a person should know.
+    """
+
+    def __init__(self, code: ResultCode, detail: str) -> None:
+        super().__init__(f"{code.name}: {detail}")
+        self.code = code
+        self.detail = detail
+
+
 class ServiceMissing(CurrantwellError):
     """A service that no one registered under the name asked for."""
 
--- a/currantwell/metrics.py
+++ b/currantwell/metrics.py
@@ -110,10 +110,9 @@
         both = _histogram()
         both.add(self._now)
         both.add(self._before)
-        return [
-            both.get_value_at_percentile(100 * quantile) / TICKS_PER_S
-            for quantile in QUANTILES
-        ]
+        percentiles = [100 * quantile for quantile in QUANTILES]
+        ticks = both.get_percentile_to_value_dict(percentiles)
+        return [ticks.get(percentile, 0) / TICKS_PER_S for percentile in percentiles]
 
 
 class Metrics:
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,88 @@
+import json
+from pathlib import Path
+
+import pytest
+
+from currantwell.codes import ResultCode
+from currantwell.exit_codes import ExitCode, exit_code
+from tests.processes import command, one_host, wait_until
+
+EXAMPLE = str(Path(__file__).parent.parent / "examples" / "check_in.json")
+DEAD = "http://127.0.0.1:9"
+
+
+@pytest.fixture(scope="module")
+def url(tmp_path_factory):
+    with one_host(tmp_path_factory.mktemp("host")) as host:
+        wait_until(lambda: len(run(host.url, "endpoint", "list")[1].splitlines()) == 2)
+        yield host.url
+
+
+def run(url, *arguments):
+    done = command(*arguments, "--url", DEAD, "--url", url)
+    return done.returncode, done.stdout.decode(), done.stderr.decode()
+
+
+def test_a_job_is_followed_from_submission_to_its_tasks(url):
+    code, output, words = run(url, "job", "submit", EXAMPLE)
+    assert (code, json.loads(output)["state"]) == (0, "complete")
+    key = words.split()[-1]
+    named = (key, "--team", "aspen-crew")
+    assert run(url, "job", "wait", *named)[1] == output
+    assert run(url, "job", "tasks", *named)[1].count("done, at endpoint-") == 24
+    assert len(json.loads(run(url, "job", "tasks", "--json", *named)[1])) == 24
+    assert run(url, "job", "explain", *named)[0] == 0
+    assert run(url, "job", "cancel", *named)[1] == output
+
+
+def test_an_endpoint_is_drained_and_resumed(url):
+    def states():
+        listed = json.loads(run(url, "endpoint", "list", "--json")[1])
+        return [said["draining"] for said in listed]
+
+    assert run(url, "endpoint", "drain", "endpoint-0")[0] == 0
+    assert "endpoint-0: draining" in run(url, "endpoint", "list")[1]
+    _, output, words = run(url, "job", "submit", EXAMPLE)
+    assert json.loads(output)["state"] == "complete"
+    key = words.split()[-1]
+    tasks = run(url, "job", "tasks", key, "--team", "aspen-crew")[1]
+    assert tasks.count("at endpoint-1") == 24
+    assert run(url, "endpoint", "resume", "endpoint-0")[0] == 0
+    wait_until(lambda: states() == [False, False])
+    assert run(url, "endpoint", "drain", "none")[0] == ExitCode.REFUSED
+
+
+def test_the_status_is_told_to_people_and_scripts(url):
+    assert "preset in force: ordinary" in run(url, "status")[1]
+    assert json.loads(run(url, "status", "--json")[1])["host"] == "host-1"
+
+
+def test_errors_are_told_in_plain_words(url, tmp_path):
+    code, _, words = run(url, "job", "wait", "aspen-parkland:none", "--team", "crew")
+    assert (code, words) == (
+        ExitCode.REFUSED,
+        "JOB_NOT_FOUND (key): no such job\n",
+    )
+    (tmp_path / "job.json").write_text('{"team": "crew", "task": []}')
+    code, _, words = run(url, "job", "submit", str(tmp_path / "job.json"))
+    assert code == ExitCode.REFUSED
+    assert "unknown field `task`" in words
+    code, _, words = run(DEAD, "endpoint", "list")
+    assert code == ExitCode.UNKNOWN
+    assert words.startswith("no entry host answers")
+    assert "Traceback" not in words
+
+
+def test_exit_codes_follow_the_ranges_of_result_codes():
+    for code in ResultCode:
+        expected = {
+            0: ExitCode.DONE,
+            1: ExitCode.RUNNING,
+            2: ExitCode.NOT_RUN,
+            3: ExitCode.UNKNOWN,
+            4: ExitCode.REFUSED,
+            5: ExitCode.FAILED,
+        }[code // 1000]
+        if code is ResultCode.INTERNAL:
+            expected = ExitCode.UNKNOWN
+        assert exit_code(code) is expected
