Carry starts, results and leases on two long-lived requests per endpoint

Cause: a profile of a host at 8 tasks a job showed that whole HTTP requests to endpoints (0.7 ms each, 4 for a job) and the announcements were the cost, not the tasks. A scenario written next showed a second fault, first seen to fail: starts that lay in the buffers of a frozen endpoint began after its lease had run out and their outcome had been given as unknown.

Change: starts, stops and lease grants go out as lines of one long POST, results, replies and beats come back as lines of one long GET; both name the incarnation they are meant for, and an endpoint checks its lease before anything else. Beats follow the lease, since a lease of 2 s ran out between idle beats of 2 s.

--- a/currantwell/cli/__init__.py
+++ b/currantwell/cli/__init__.py
@@ -7,6 +7,7 @@
 from .endpoint import endpoint
 from .host import host
 from .job import job
+from .load import load
 
 __all__ = ["main"]
 
@@ -17,5 +18,5 @@
     """Dispatch sub-second tasks."""
 
 
-for _command in (demo, endpoint, host, job):
+for _command in (demo, endpoint, host, job, load):
     main.add_command(_command)
--- a/currantwell/client.py
+++ b/currantwell/client.py
@@ -9,7 +9,7 @@
 from .endpoint_protocol import Announcement
 from .errors import EndpointUnreachable
 from .http_client import HttpClient, HttpReply
-from .ids import JobKey, Team
+from .ids import DataCentre, JobKey, Team, home_of, new_key
 from .submission import Submission
 
 __all__ = ["Client"]
@@ -31,17 +31,23 @@
 
     def __init__(self, url: str, token: str | None = None) -> None:
         self._http = HttpClient(url, token=token)
+        self._home: DataCentre | None = None
 
     async def new_key(self) -> JobKey:
         """Return a submission key whose home is the host's data centre.
 
+        The host is asked for its data centre once.
+
         Raises
         ------
         EndpointUnreachable
             If the host does not answer.
         """
-        reply = await self._http.request("POST", "/v1/keys")
-        return JobKey(msgspec.json.decode(reply.body)["key"])
+        if self._home is None:
+            reply = await self._http.request("POST", "/v1/keys")
+            key = JobKey(msgspec.json.decode(reply.body)["key"])
+            self._home = home_of(key)
+        return new_key(self._home)
 
     async def submit(
         self, submission: Submission, wait_s: float = 0.0
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -8,6 +8,7 @@
 import dataclasses
 from collections.abc import Sequence
 
+import msgspec
 import trio
 
 from . import events
@@ -19,6 +20,7 @@
     Announcement,
     AnnouncementReply,
     AttemptRef,
+    Beat,
     Held,
     ResultLine,
     Start,
@@ -61,7 +63,7 @@
     """
 
     endpoint_lease_s: float = 8.0
-    suspect_after_s: float = 1.5
+    suspect_after_s: float = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -248,6 +250,21 @@
         if ended:
             await self._end(ended, {})
 
+    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> float:
+        """Take in a sign of life and return the lease granted, in seconds."""
+        known = self._known.get(endpoint)
+        if known is None or known.announcement.incarnation != beat.incarnation:
+            return LEASE_REFUSED_S
+        known.heard_s = now_s()
+        known.announcement = msgspec.structs.replace(
+            known.announcement,
+            running=beat.running,
+            draining=beat.draining,
+            used_processors=beat.used_processors,
+        )
+        self._scheduler.endpoint_announced(known.announcement, now_s())
+        return self._limits.endpoint_lease_s
+
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
         """Note whether an endpoint answers."""
         self._scheduler.endpoint_reachable(endpoint, answers)
--- a/currantwell/emulator.py
+++ b/currantwell/emulator.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import math
 import random
 import uuid
 from collections.abc import AsyncIterator
@@ -27,11 +28,14 @@
     AttemptRef,
     Beat,
     Held,
+    LeaseGrant,
     RefusedStart,
     ResultLine,
+    ResultStreamLine,
     Start,
     StartBatch,
     StartReply,
+    StartStreamLine,
 )
 from .errors import EndpointUnreachable
 from .http_client import HttpClient
@@ -42,11 +46,19 @@
 __all__ = ["EmulatedEndpoint", "EmulatorSettings", "Faults", "run_emulator"]
 
 ANNOUNCE_INTERVAL_S = 0.5
-BEAT_INTERVAL_S = 0.5
+ANNOUNCE_AFTER_SILENCE_S = 3.0
+BUSY_BEAT_INTERVAL_S = 0.5
+IDLE_BEAT_INTERVAL_S = 2.0
+FAULT_POLL_S = 0.1
+LEASE_CHECK_S = 0.25
+BEATS_A_LEASE = 4
 STALE_EPOCH_STATUS = 409
-STALE_BATCH_STATUS = 410
+INCARNATION_OVER_STATUS = 410
 NO_RACK = Rack("")
 _json = msgspec.json.Encoder()
+_start_line_decoder: msgspec.json.Decoder[StartStreamLine] = msgspec.json.Decoder(
+    StartStreamLine
+)
 
 
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
@@ -148,9 +160,14 @@
         self._results: list[ResultLine] = []
         self._next_seq = 1
         self._last_batch = 0
-        self._last_reply: bytes = b""
+        self._last_reply: StartReply | None = None
+        self._replies_due = 0
+        self._beats: dict[int, float] = {}
+        self._next_beat = 1
         self._news = trio.Event()
         self._lease_end_s: float | None = None
+        self._lease_s = math.inf
+        self._granted_s = -math.inf
 
     def app(self) -> Starlette:
         """Return the ASGI application."""
@@ -177,7 +194,7 @@
         """Return once all held attempts have ended."""
         self.faults.draining = True
         while any(not attempt.ended for attempt in self._attempts.values()):
-            await trio.sleep(BEAT_INTERVAL_S)
+            await trio.sleep(FAULT_POLL_S)
 
     # Requests of hosts.
 
@@ -185,34 +202,52 @@
         """Take a new primary and tell it what is held."""
         adopt = msgspec.json.decode(await request.body(), type=Adopt)
         await self._freeze()
-        if adopt.epoch < self._epoch:
-            return Response(status_code=STALE_EPOCH_STATUS)
+        refusal = self._check(adopt.epoch, adopt.incarnation)
+        if refusal is not None:
+            return refusal
         self._take_epoch(adopt.epoch)
         held = Held(self._incarnation, self._epoch, tuple(self._attempts))
         return _reply(held)
 
     async def post_starts(self, request: Request) -> Response:
-        """Start and stop attempts."""
-        batch = msgspec.json.decode(await request.body(), type=StartBatch)
+        """Read lines of starts, stops and lease grants until the stream ends."""
+        epoch, incarnation = _link_of(request)
         await self._freeze()
-        if batch.epoch < self._epoch:
-            return Response(status_code=STALE_EPOCH_STATUS)
-        self._take_epoch(batch.epoch)
-        if batch.batch < self._last_batch:
-            return Response(status_code=STALE_BATCH_STATUS)
-        if batch.batch > self._last_batch:
-            self._forget(batch.acked_seq)
-            self._last_reply = _json.encode(self._carry_out(batch))
-            self._last_batch = batch.batch
-        return Response(self._last_reply, media_type="application/json")
+        refusal = self._check(epoch, incarnation)
+        if refusal is not None:
+            return refusal
+        self._take_epoch(epoch)
+        rest = b""
+        async for piece in request.stream():
+            await self._freeze()
+            *lines, rest = (rest + piece).split(b"\n")
+            for line in lines:
+                refusal = self._check(epoch, incarnation)
+                if refusal is not None:
+                    return refusal
+                self._take_line(_start_line_decoder.decode(line))
+        return Response()
+
+    def _take_line(self, line: StartStreamLine) -> None:
+        if isinstance(line, LeaseGrant):
+            self._take_lease(line.lease_s, self._beats.pop(line.beat, None))
+            return
+        if line.batch > self._last_batch:
+            self._forget(line.acked_seq)
+            self._last_reply = self._carry_out(line)
+            self._last_batch = line.batch
+        if line.batch == self._last_batch:
+            self._replies_due += 1
+            self._tell()
 
     async def get_results(self, request: Request) -> Response:
-        """Stream results after a number, and beats."""
-        epoch = Epoch(int(request.query_params["epoch"]))
+        """Stream results after a number, replies and beats."""
+        epoch, incarnation = _link_of(request)
         after = int(request.query_params["after"])
         await self._freeze()
-        if epoch < self._epoch:
-            return Response(status_code=STALE_EPOCH_STATUS)
+        refusal = self._check(epoch, incarnation)
+        if refusal is not None:
+            return refusal
         self._take_epoch(epoch)
         return StreamingResponse(self._stream(epoch, after))
 
@@ -228,12 +263,26 @@
 
     # What it does with them.
 
+    def _check(self, epoch: Epoch, incarnation: Incarnation) -> Response | None:
+        """Refuse an older epoch, and what is meant for an incarnation that is over."""
+        self._check_lease()
+        if incarnation != self._incarnation:
+            return Response(status_code=INCARNATION_OVER_STATUS)
+        if epoch < self._epoch:
+            return Response(status_code=STALE_EPOCH_STATUS)
+        return None
+
     def _take_epoch(self, epoch: Epoch) -> None:
         if epoch > self._epoch:
             self._epoch = epoch
             self._last_batch = 0
-            self._news.set()
-            self._news = trio.Event()
+            self._last_reply = None
+            self._tell()
+
+    def _tell(self) -> None:
+        """Wake the result streams."""
+        self._news.set()
+        self._news = trio.Event()
 
     def _forget(self, acked_seq: int) -> None:
         for line in self._results:
@@ -249,7 +298,7 @@
         ]
         for ref in batch.stops:
             self._stop(ref)
-        return StartReply(self._incarnation, self._epoch, tuple(refused))
+        return StartReply(self._incarnation, batch.batch, tuple(refused))
 
     def _take(self, start: Start) -> bool:
         if start.ref in self._attempts:
@@ -275,6 +324,7 @@
             self._end(attempt, ResultCode.NOT_RUN_CANCELLED, None, 0.0)
 
     def _fill_slots(self) -> None:
+        self._check_lease()
         assert self._nursery is not None
         while self._queue and self._running < self._settings.slots:
             attempt = self._queue.popleft()
@@ -321,49 +371,71 @@
         )
         self._next_seq += 1
         self._results.append(line)
-        self._news.set()
-        self._news = trio.Event()
+        self._tell()
 
     async def _stream(self, epoch: Epoch, after: int) -> AsyncIterator[bytes]:
-        yield self._line(Beat(self._incarnation, self._running))
-        while epoch == self._epoch:
+        replied, incarnation = -1, self._incarnation
+        next_beat_s = now_s()
+        while epoch == self._epoch and incarnation == self._incarnation:
             await self._freeze()
-            news = self._news
+            news, piece = self._news, b""
+            if self._replies_due != replied and self._last_reply is not None:
+                replied = self._replies_due
+                piece += _line(self._last_reply)
             lines = [line for line in self._results if line.seq > after]
             if lines:
                 await trio.sleep(self.faults.result_delay_s)
                 copies = 2 if self.faults.duplicate_results else 1
-                yield b"".join(self._line(line) for line in lines * copies)
+                piece += b"".join(_line(line) for line in lines * copies)
                 after = lines[-1].seq
+            if now_s() >= next_beat_s:
+                piece += _line(self._beat())
+                next_beat_s = now_s() + self._beat_interval_s()
+            if piece:
+                yield piece
                 continue
-            with trio.move_on_after(BEAT_INTERVAL_S) as scope:
+            with trio.move_on_at(next_beat_s):
                 await news.wait()
-            if scope.cancelled_caught:
-                yield self._line(Beat(self._incarnation, self._running))
 
-    def _line(self, line: ResultLine | Beat) -> bytes:
-        return _json.encode(line) + b"\n"
+    def _beat_interval_s(self) -> float:
+        usual_s = BUSY_BEAT_INTERVAL_S if self._running else IDLE_BEAT_INTERVAL_S
+        return min(usual_s, self._lease_s / BEATS_A_LEASE)
+
+    def _beat(self) -> Beat:
+        beat = Beat(
+            self._next_beat, self._incarnation, self._running, self.faults.draining
+        )
+        self._beats = {beat.beat: now_s(), **dict(list(self._beats.items())[-8:])}
+        self._next_beat += 1
+        return beat
 
     async def _freeze(self) -> None:
         while self.faults.silent:
-            await trio.sleep(BEAT_INTERVAL_S)
+            await trio.sleep(FAULT_POLL_S)
 
     # Its lease.
 
     async def _announce_loop(self, client: HttpClient) -> None:
+        """Announce whenever no primary renews the lease on its stream."""
         while True:
             await self._freeze()
-            sent_s, incarnation = now_s(), self._incarnation
-            body = _json.encode(self._announcement())
-            try:
-                reply = await client.request("POST", "/v1/endpoints", body, 1.0)
-            except EndpointUnreachable:
-                reply = None
-            if reply is not None and reply.status == 200:
-                granted = msgspec.json.decode(reply.body, type=AnnouncementReply)
-                self._take_lease(granted, sent_s, incarnation)
+            if now_s() - self._granted_s > ANNOUNCE_AFTER_SILENCE_S:
+                await self._announce(client)
             await trio.sleep(ANNOUNCE_INTERVAL_S)
 
+    async def _announce(self, client: HttpClient) -> None:
+        sent_s, incarnation = now_s(), self._incarnation
+        body = _json.encode(self._announcement())
+        try:
+            reply = await client.request("POST", "/v1/endpoints", body, 1.0)
+        except EndpointUnreachable:
+            return
+        if reply.status != 200 or incarnation != self._incarnation:
+            return
+        granted = msgspec.json.decode(reply.body, type=AnnouncementReply)
+        if granted.epoch >= self._epoch:
+            self._extend_lease(granted.lease_s, sent_s)
+
     def _announcement(self) -> Announcement:
         own = self._settings
         return Announcement(
@@ -381,29 +453,46 @@
             self.faults.draining,
         )
 
-    def _take_lease(
-        self, granted: AnnouncementReply, sent_s: float, incarnation: Incarnation
-    ) -> None:
-        if incarnation != self._incarnation or granted.epoch < self._epoch:
-            return
-        if granted.lease_s <= 0:
+    def _take_lease(self, lease_s: float, sent_s: float | None) -> None:
+        if sent_s is not None:
+            self._granted_s = now_s()
+            self._extend_lease(lease_s, sent_s)
+
+    def _extend_lease(self, lease_s: float, sent_s: float) -> None:
+        if lease_s <= 0:
             self._abandon()
             return
-        end_s = sent_s + granted.lease_s
+        self._lease_s = lease_s
+        end_s = sent_s + lease_s
         self._lease_end_s = max(end_s, self._lease_end_s or end_s)
 
     async def _lease_loop(self) -> None:
         while True:
-            await trio.sleep(BEAT_INTERVAL_S)
-            if self._lease_end_s is not None and now_s() > self._lease_end_s:
-                self._abandon()
+            await trio.sleep(LEASE_CHECK_S)
+            self._check_lease()
+
+    def _check_lease(self) -> None:
+        """Give up all that is held once the lease has run out, before anything else."""
+        if self._lease_end_s is not None and now_s() > self._lease_end_s:
+            self._abandon()
 
     def _abandon(self) -> None:
         """Stop everything and go on as a new incarnation."""
         for attempt in self._attempts.values():
             attempt.scope.cancel()
-        self._news.set()
+        news = self._news
         self._reset()
+        news.set()
+
+
+def _link_of(request: Request) -> tuple[Epoch, Incarnation]:
+    """Return the epoch and incarnation that a request is meant for."""
+    query = request.query_params
+    return Epoch(int(query["epoch"])), Incarnation(query["incarnation"])
+
+
+def _line(line: ResultStreamLine) -> bytes:
+    return _json.encode(line) + b"\n"
 
 
 def _reply(value: Any) -> Response:
--- a/currantwell/endpoint_link.py
+++ b/currantwell/endpoint_link.py
@@ -1,8 +1,11 @@
 """The link from a primary to one endpoint: starts out, results in.
 
-Starts and stops that are ready while a request is under way go together in the
-next one. Results come on a long-lived response; after silence it is opened anew,
-from the last result seen.
+Two long-lived requests carry lines of JSON: starts, stops and lease grants go out in
+the body of one, results, replies and beats come back in the body of the other. One
+batch is under way at a time; what becomes ready meanwhile goes together in the next.
+A batch that is not answered in time is sent again on a new connection, and a result
+stream that falls silent is opened anew from the last durable result, since an open
+connection may have gone silent for good while new ones work.
 """
 
 from collections.abc import AsyncIterator, Sequence
@@ -14,29 +17,34 @@
 from .endpoint_protocol import (
     Adopt,
     AttemptRef,
+    Beat,
     Held,
+    LeaseGrant,
     ResultLine,
+    ResultStreamLine,
     Start,
     StartBatch,
     StartReply,
-    StreamLine,
+    StartStreamLine,
 )
-from .errors import Deposed, EndpointUnreachable
+from .errors import Deposed, EndpointUnreachable, StreamRefused
 from .http_client import HttpClient
 from .ids import EndpointId, Epoch, Incarnation
 
 __all__ = ["EndpointLink", "LinkOwner"]
 
-REQUEST_TIMEOUT_S = 1.0
-SILENCE_S = 1.5
+REPLY_TIMEOUT_S = 1.0
+SILENCE_S = 4.0
 RETRY_PAUSE_S = 0.2
 MAX_BATCH_STARTS = 256
 STALE_EPOCH_STATUS = 409
+INCARNATION_OVER_STATUS = 410
 
 _encoder = msgspec.json.Encoder()
 _held_decoder = msgspec.json.Decoder(Held)
-_reply_decoder = msgspec.json.Decoder(StartReply)
-_line_decoder: msgspec.json.Decoder[StreamLine] = msgspec.json.Decoder(StreamLine)
+_line_decoder: msgspec.json.Decoder[ResultStreamLine] = msgspec.json.Decoder(
+    ResultStreamLine
+)
 
 
 class LinkOwner(Protocol):
@@ -61,6 +69,10 @@
         """Take in what an adopted endpoint holds."""
         ...
 
+    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> float:
+        """Take in a sign of life and return the lease granted, in seconds."""
+        ...
+
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
         """Note whether the endpoint answers."""
         ...
@@ -102,22 +114,25 @@
         self.incarnation = incarnation
         self.url = url
         self.epoch = epoch
-        self.requests_sent = 0
+        self.batches_sent = 0
+        self.batches_resent = 0
         self._owner = owner
+        self._query = f"epoch={epoch}&incarnation={incarnation}"
         self._client = HttpClient(url, max_connections=4)
         self._starts: list[Start] = []
         self._stops: list[AttemptRef] = []
-        self._work = trio.Event()
+        self._grant: LeaseGrant | None = None
+        self._pending: StartBatch | None = None
+        self._changed = trio.Event()
+        self._batch_sent = trio.Event()
         self._acked_seq = 0
-        self._batches = 0
-        self._adopted = trio.Event()
         self._scope = trio.CancelScope()
 
     def send(self, starts: Sequence[Start], stops: Sequence[AttemptRef] = ()) -> None:
-        """Queue starts and stops; stops of queued starts take them back."""
+        """Queue starts and stops; they leave as soon as the last batch is answered."""
         self._starts.extend(starts)
         self._stops.extend(stops)
-        self._work.set()
+        self._changed.set()
 
     def close(self) -> None:
         """Stop sending and listening."""
@@ -138,51 +153,102 @@
                 await self._client.close()
 
     async def _adopt(self) -> None:
-        body = _encoder.encode(Adopt(self.epoch))
-        held = _held_decoder.decode(await self._post("/v1/adopt", body))
-        await self._owner.attempts_held(self.endpoint, held)
-        self._adopted.set()
+        body = _encoder.encode(Adopt(self.epoch, self.incarnation))
+        while True:
+            try:
+                reply = await self._client.request(
+                    "POST", "/v1/adopt", body, REPLY_TIMEOUT_S
+                )
+            except EndpointUnreachable:
+                self._owner.endpoint_answers(self.endpoint, False)
+                await trio.sleep(RETRY_PAUSE_S)
+                continue
+            self._check_status(reply.status)
+            if reply.status == 200:
+                held = _held_decoder.decode(reply.body)
+                await self._owner.attempts_held(self.endpoint, held)
+                return
+            await trio.sleep(RETRY_PAUSE_S)
+
+    def _check_status(self, status: int) -> None:
+        if status == STALE_EPOCH_STATUS:
+            raise Deposed(f"{self.endpoint} has seen a newer epoch")
+        if status == INCARNATION_OVER_STATUS:
+            self._owner.endpoint_answers(self.endpoint, False)
+            self.close()
+
+    # Out.
 
     async def _send_loop(self) -> None:
         while True:
-            await self._work.wait()
-            self._work = trio.Event()
-            while self._starts or self._stops:
-                batch = self._next_batch()
-                data = await self._post("/v1/starts", _encoder.encode(batch))
-                reply = _reply_decoder.decode(data)
-                await self._owner.batch_answered(self.endpoint, batch, reply)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._upload, nursery.cancel_scope)
+                nursery.start_soon(self._watch_replies, nursery.cancel_scope)
+            self._owner.endpoint_answers(self.endpoint, False)
+            await trio.sleep(RETRY_PAUSE_S)
+
+    async def _upload(self, scope: trio.CancelScope) -> None:
+        """Send lines until the connection ends."""
+        path = f"/v1/starts?{self._query}"
+        try:
+            reply = await self._client.upload(path, self._outgoing())
+        except EndpointUnreachable:
+            reply = None
+        if reply is not None:
+            self._check_status(reply.status)
+        scope.cancel()
+
+    async def _watch_replies(self, scope: trio.CancelScope) -> None:
+        """Give the connection up once a batch has waited too long for its reply."""
+        while True:
+            await self._batch_sent.wait()
+            self._batch_sent = trio.Event()
+            number = self.batches_sent
+            await trio.sleep(REPLY_TIMEOUT_S)
+            if self._pending is not None and self._pending.batch == number:
+                self.batches_resent += 1
+                scope.cancel()
+
+    async def _outgoing(self) -> AsyncIterator[bytes]:
+        """Yield lines: first the batch that is still unanswered, then new ones."""
+        if self._pending is not None:
+            self._batch_sent.set()
+            yield _line(self._pending)
+        while True:
+            line = self._next_line()
+            if line is not None:
+                yield _line(line)
+            else:
+                await self._changed.wait()
+                self._changed = trio.Event()
+
+    def _next_line(self) -> StartStreamLine | None:
+        if self._grant is not None:
+            grant, self._grant = self._grant, None
+            return grant
+        if self._pending is None and (self._starts or self._stops):
+            self._pending = self._next_batch()
+            self._batch_sent.set()
+            return self._pending
+        return None
 
     def _next_batch(self) -> StartBatch:
         starts = tuple(self._starts[:MAX_BATCH_STARTS])
         del self._starts[:MAX_BATCH_STARTS]
         stops, self._stops = tuple(self._stops), []
-        self._batches += 1
-        return StartBatch(self.epoch, self._batches, starts, stops, self._acked_seq)
+        self.batches_sent += 1
+        return StartBatch(self.epoch, self.batches_sent, starts, stops, self._acked_seq)
 
-    async def _post(self, path: str, body: bytes) -> bytes:
-        """Send until it is answered; the endpoint knows attempts that it has seen."""
-        while True:
-            self.requests_sent += 1
-            try:
-                reply = await self._client.request(
-                    "POST", path, body, REQUEST_TIMEOUT_S
-                )
-            except EndpointUnreachable:
-                reply = None
-            if reply is not None and reply.status == STALE_EPOCH_STATUS:
-                raise Deposed(f"{self.endpoint} has seen a newer epoch")
-            self._owner.endpoint_answers(self.endpoint, reply is not None)
-            if reply is not None and reply.status == 200:
-                return reply.body
-            await trio.sleep(RETRY_PAUSE_S)
+    # In.
 
     async def _listen_loop(self) -> None:
         while True:
-            path = f"/v1/results?epoch={self.epoch}&after={self._acked_seq}"
+            path = f"/v1/results?{self._query}&after={self._acked_seq}"
             try:
                 async with self._client.stream(path, SILENCE_S) as pieces:
                     await self._listen(pieces)
+            except StreamRefused as error:
+                self._check_status(error.status)
             except EndpointUnreachable:
                 self._owner.endpoint_answers(self.endpoint, False)
             await trio.sleep(RETRY_PAUSE_S)
@@ -194,12 +260,33 @@
             *lines, rest = (rest + piece).split(b"\n")
             await self._take([_line_decoder.decode(line) for line in lines if line])
 
-    async def _take(self, lines: Sequence[StreamLine]) -> None:
-        results = [
-            line
-            for line in lines
-            if isinstance(line, ResultLine) and line.seq > self._acked_seq
-        ]
+    async def _take(self, lines: Sequence[ResultStreamLine]) -> None:
+        results: list[ResultLine] = []
+        for line in lines:
+            match line:
+                case ResultLine() if line.seq > self._acked_seq:
+                    results.append(line)
+                case StartReply():
+                    await self._take_reply(line)
+                case Beat():
+                    self._take_beat(line)
         if results:
             await self._owner.results_arrived(self.endpoint, self.incarnation, results)
-            self._acked_seq = results[-1].seq
+            self._acked_seq = max(line.seq for line in results)
+
+    async def _take_reply(self, reply: StartReply) -> None:
+        batch = self._pending
+        if batch is None or batch.batch != reply.batch:
+            return
+        self._pending = None
+        self._changed.set()
+        await self._owner.batch_answered(self.endpoint, batch, reply)
+
+    def _take_beat(self, beat: Beat) -> None:
+        lease_s = self._owner.beat_arrived(self.endpoint, beat)
+        self._grant = LeaseGrant(beat.beat, lease_s)
+        self._changed.set()
+
+
+def _line(message: StartStreamLine) -> bytes:
+    return _encoder.encode(message) + b"\n"
--- a/currantwell/endpoint_protocol.py
+++ b/currantwell/endpoint_protocol.py
@@ -1,4 +1,9 @@
-"""Messages between hosts and endpoints, as written down in docs/ENDPOINTS.md."""
+"""Messages between hosts and endpoints, as written down in docs/ENDPOINTS.md.
+
+Between a primary and an endpoint run two long-lived requests whose bodies are lines
+of JSON: ``POST /v1/starts`` carries `StartStreamLine`, ``GET /v1/results`` answers
+with `ResultStreamLine`.
+"""
 
 from typing import Any
 
@@ -14,12 +19,14 @@
     "AttemptRef",
     "Beat",
     "Held",
+    "LeaseGrant",
     "RefusedStart",
     "ResultLine",
+    "ResultStreamLine",
     "Start",
     "StartBatch",
     "StartReply",
-    "StreamLine",
+    "StartStreamLine",
 ]
 
 
@@ -120,8 +127,8 @@
     accelerators: int = 0
 
 
-class StartBatch(msgspec.Struct, frozen=True):
-    """Starts and stops for one endpoint, in one request.
+class StartBatch(msgspec.Struct, frozen=True, tag="batch"):
+    """Starts and stops for one endpoint, as one line of the start stream.
 
     Parameters
     ----------
@@ -153,18 +160,37 @@
     code: ResultCode
 
 
-class StartReply(msgspec.Struct, frozen=True):
-    """What became of a batch; every start that is not refused was taken."""
+class StartReply(msgspec.Struct, frozen=True, tag="reply"):
+    """What became of a batch, as one line of the result stream.
+
+    Every start that is not refused was taken.
+    """
 
     incarnation: Incarnation
-    epoch: Epoch
+    batch: int
     refused: tuple[RefusedStart, ...] = ()
 
 
+class LeaseGrant(msgspec.Struct, frozen=True, tag="lease"):
+    """The answer to a beat, as one line of the start stream.
+
+    Parameters
+    ----------
+    beat : int
+        The number of the beat answered.
+    lease_s : float
+        How long after sending that beat the endpoint may go on running tasks.
+    """
+
+    beat: int
+    lease_s: float
+
+
 class Adopt(msgspec.Struct, frozen=True):
-    """A new primary taking over an endpoint."""
+    """A new primary taking over one incarnation of an endpoint."""
 
     epoch: Epoch
+    incarnation: Incarnation
 
 
 class Held(msgspec.Struct, frozen=True):
@@ -208,10 +234,28 @@
 
 
 class Beat(msgspec.Struct, frozen=True, tag="beat"):
-    """A sign of life on the result stream."""
+    """A sign of life on the result stream; its answer renews the lease.
 
+    Parameters
+    ----------
+    beat : int
+        Counts up by one in each incarnation.
+    incarnation : str
+        The endpoint's incarnation.
+    running : int
+        Tasks it runs now.
+    draining : bool
+        Whether it wants no new start.
+    used_processors : float
+        Processor cores in use, as last measured; lags.
+    """
+
+    beat: int
     incarnation: Incarnation
     running: int
+    draining: bool = False
+    used_processors: float = 0.0
 
 
-StreamLine = ResultLine | Beat
+ResultStreamLine = ResultLine | StartReply | Beat
+StartStreamLine = StartBatch | LeaseGrant
--- a/currantwell/errors.py
+++ b/currantwell/errors.py
@@ -12,6 +12,7 @@
     "ServiceMissing",
     "SettingsInvalid",
     "StorageFailed",
+    "StreamRefused",
 ]
 
 
@@ -74,6 +75,22 @@
     """An endpoint that did not answer in time."""
 
 
+class StreamRefused(EndpointUnreachable):
+    """A stream that the other side answered with an error status.
+
+    Parameters
+    ----------
+    url : str
+        What was asked for.
+    status : int
+        The HTTP status.
+    """
+
+    def __init__(self, url: str, status: int) -> None:
+        super().__init__(f"{url}: status {status}")
+        self.status = status
+
+
 class Deposed(CurrantwellError):
     """A host that acts under a view which is no longer the newest."""
 
--- a/currantwell/http_client.py
+++ b/currantwell/http_client.py
@@ -6,7 +6,7 @@
 import httpcore
 import trio
 
-from .errors import EndpointUnreachable
+from .errors import EndpointUnreachable, StreamRefused
 
 __all__ = ["HttpClient", "HttpReply"]
 
@@ -109,11 +109,27 @@
             ) as reply:
                 if reply.status != 200:
                     await reply.aread()
-                    raise EndpointUnreachable(f"{self._url}: status {reply.status}")
+                    raise StreamRefused(self._url + path, reply.status)
                 yield reply.aiter_stream()
         except _NETWORK_ERRORS as error:
             raise EndpointUnreachable(f"{self._url}: {error!r}") from error
 
+    async def upload(self, path: str, pieces: AsyncIterator[bytes]) -> HttpReply:
+        """Send a long-lived POST, piece by piece, and return the reply to it.
+
+        Raises
+        ------
+        EndpointUnreachable
+            If it can't be opened or breaks.
+        """
+        try:
+            reply = await self._pool.request(
+                "POST", self._url + path, headers=self._headers, content=pieces
+            )
+        except _NETWORK_ERRORS as error:
+            raise EndpointUnreachable(f"{self._url}: {error!r}") from error
+        return HttpReply(reply.status, reply.content)
+
     async def close(self) -> None:
         """Close all connections."""
         await self._pool.aclose()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -22,6 +22,7 @@
 ``expect-refused JOB CODE``                   what the last submission was told
 ``expect-tasks JOB STATE=N ...``              states of tasks of a failed job
 ``expect-started-once``                       no task of any job started twice
+``expect-starts NAME N``                      how many tasks an endpoint has started
 ``expect-exit NAME CODE``                     a stopped process's exit code
 ``expect-no-new-starts NAME after_s=S for_s=S``  an endpoint gets no start any more
 ``pause S``                                   let time pass
@@ -345,6 +346,9 @@
         assert starts
         assert max(starts.values()) == 1, starts.most_common(3)
 
+    async def do_expect_starts(self, name, count):
+        assert sum((await self._starts(name)).values()) == int(count)
+
     async def do_expect_exit(self, name, code):
         process = self._node(name).process
         assert await trio.to_thread.run_sync(process.wait) == int(code)
