--- a/currantwell/cli/__init__.py
+++ b/currantwell/cli/__init__.py
@@ -7,6 +7,7 @@
 from .endpoint import endpoint
 from .host import host
 from .job import job
+from .load import load
 from .settings import settings
 from .status import status
 from .token import token
@@ -20,5 +21,5 @@
     """Dispatch sub-second tasks."""
 
 
-for _command in (demo, endpoint, host, job, settings, status, token):
+for _command in (demo, endpoint, host, job, load, settings, status, token):
     main.add_command(_command)
--- a/currantwell/client.py
+++ b/currantwell/client.py
@@ -18,7 +18,7 @@
 from .endpoint_protocol import Announcement
 from .errors import EndpointUnreachable, RequestRefused
 from .http_client import HttpClient, HttpReply
-from .ids import EndpointId, JobKey, Team
+from .ids import DataCentre, EndpointId, JobKey, Team, home_of, new_key
 from .status import Status
 from .submission import Submission
 
@@ -46,10 +46,13 @@
         listed = [urls] if isinstance(urls, str) else list(urls)
         self._hosts = [HttpClient(url, token=token) for url in listed]
         self._current = 0
+        self._home: DataCentre | None = None
 
     async def new_key(self) -> JobKey:
         """Return a submission key whose home is the host's data centre.
 
+        The host is asked for its data centre once.
+
         Raises
         ------
         EndpointUnreachable
@@ -57,7 +60,10 @@
         RequestRefused
             If the host refuses.
         """
-        return (await self._get("POST", "/v1/keys", dict[str, JobKey]))["key"]
+        if self._home is None:
+            told = await self._get("POST", "/v1/keys", dict[str, JobKey])
+            self._home = home_of(told["key"])
+        return new_key(self._home)
 
     async def submit(
         self, submission: Submission, wait_s: float = 0.0
@@ -139,6 +145,7 @@
 
     def _next_host(self) -> None:
         self._current = (self._current + 1) % len(self._hosts)
+        self._home = None
 
     async def _request(
         self, method: str, path: str, body: bytes, timeout_s: float
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -20,7 +20,9 @@
     Announcement,
     AnnouncementReply,
     AttemptRef,
+    Beat,
     Held,
+    LeaseGrant,
     ResultLine,
     Start,
     StartBatch,
@@ -63,7 +65,7 @@
     """
 
     endpoint_lease_s: float = 8.0
-    suspect_after_s: float = 1.5
+    suspect_after_s: float = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -224,9 +226,7 @@
         if known is None:
             return Refusal(ResultCode.NOT_FOUND, "no such endpoint", "endpoint")
         self._drains[endpoint] = draining
-        said = msgspec.structs.replace(known.announcement, draining=draining)
-        known.announcement = said
-        self._scheduler.endpoint_announced(said, now_s())
+        self._take_in(known, known.announcement)
         events.ENDPOINT_DRAINED.log(
             endpoint=endpoint, draining=draining, operator=operator
         )
@@ -261,17 +261,22 @@
             known = None
         if known is None:
             known = self._meet(announcement)
-        drain = self._drains.get(announcement.endpoint)
-        if drain:
-            announcement = msgspec.structs.replace(announcement, draining=True)
-        elif drain is False and not announcement.draining:
-            drain = self._drains.pop(announcement.endpoint)
-        known.announcement = announcement
         known.heard_s = now_s()
-        self._scheduler.endpoint_announced(announcement, now_s())
+        drain = self._take_in(known, announcement)
         self._wake.set()
         return AnnouncementReply(self._limits.endpoint_lease_s, self.epoch, drain)
 
+    def _take_in(self, known: _Known, said: Announcement) -> bool | None:
+        """Take in what an endpoint says of itself; return an operator's wish."""
+        wish = self._drains.get(said.endpoint)
+        if wish:
+            said = msgspec.structs.replace(said, draining=True)
+        elif wish is False and not said.draining:
+            wish = self._drains.pop(said.endpoint)
+        known.announcement = said
+        self._scheduler.endpoint_announced(said, now_s())
+        return wish
+
     # What links tell.
 
     async def batch_answered(
@@ -305,6 +310,21 @@
         if ended:
             await self._end(ended, {})
 
+    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> LeaseGrant:
+        """Take in a sign of life and return the lease granted."""
+        known = self._known.get(endpoint)
+        if known is None or known.announcement.incarnation != beat.incarnation:
+            return LeaseGrant(beat.beat, LEASE_REFUSED_S)
+        known.heard_s = now_s()
+        said = msgspec.structs.replace(
+            known.announcement,
+            running=beat.running,
+            draining=beat.draining,
+            used_processors=beat.used_processors,
+        )
+        drain = self._take_in(known, said)
+        return LeaseGrant(beat.beat, self._limits.endpoint_lease_s, drain)
+
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
         """Note whether an endpoint answers."""
         self._scheduler.endpoint_reachable(endpoint, answers)
