Document result codes and events by tables that a test holds to the code

Cause: numbers in logs and answers had no page that says what they mean.

Change: each result code has a meaning; `currantwell reference` prints both tables, tools/write_tables.py (make tables) writes them into docs/RESULT_CODES.md and docs/EVENTS.md. Tests hold tables and code together, see that events are logged only by their constants, and that no field of one carries a payload or a secret.

Seen to fail first, by breaking: an HTTP status, a meaning, a level, a field.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format check
+.PHONY: setup demo test lint format check tables
 
 setup: $(VENV)/.installed
 
@@ -27,3 +27,6 @@
 	$(BIN)/ruff check --fix .
 
 check: lint test
+
+tables: setup
+	$(BIN)/python tools/write_tables.py
--- a/currantwell/cli/__init__.py
+++ b/currantwell/cli/__init__.py
@@ -8,6 +8,7 @@
 from .host import host
 from .job import job
 from .load import load
+from .reference import reference
 from .settings import settings
 from .status import status
 from .token import token
@@ -21,5 +22,5 @@
     """Dispatch sub-second tasks."""
 
 
-for _command in (demo, endpoint, host, job, load, settings, status, token):
+for _command in (demo, endpoint, host, job, load, reference, settings, status, token):
     main.add_command(_command)
--- a/currantwell/codes.py
+++ b/currantwell/codes.py
@@ -2,7 +2,14 @@
 
 import enum
 
-__all__ = ["HTTP_STATUS", "ResultCode", "http_status", "is_not_run", "is_unknown"]
+__all__ = [
+    "HTTP_STATUS",
+    "MEANINGS",
+    "ResultCode",
+    "http_status",
+    "is_not_run",
+    "is_unknown",
+]
 
 
 class ResultCode(enum.IntEnum):
@@ -69,6 +76,51 @@
 _ANSWERED_STATUS = 200
 
 
+MEANINGS: dict[ResultCode, str] = {
+    ResultCode.COMPLETE: "Every task is done; the answer holds all results.",
+    ResultCode.ACCEPTED: "The task waits for its start.",
+    ResultCode.RUNNING: "The job is accepted and has not ended; ask again.",
+    ResultCode.NOT_RUN_OVERLOADED: "Too much work waits; try later.",
+    ResultCode.NOT_RUN_QUOTA: "The team has as much work waiting as its quota allows.",
+    ResultCode.NOT_RUN_DEADLINE: "The deadline passed, or would have, before a start.",
+    ResultCode.NOT_RUN_IMPOSSIBLE: "No endpoint could ever run one of the tasks.",
+    ResultCode.NOT_RUN_SHUTTING_DOWN: "The host is shutting down; ask another one.",
+    ResultCode.NOT_RUN_SECOND_COPY_MISSING: "No second host could store the job.",
+    ResultCode.NOT_RUN_CANCELLED: "The task was cancelled before its start.",
+    ResultCode.NOT_RUN_NO_PRIMARY: "The attempt never reached its endpoint.",
+    ResultCode.NOT_RUN_JOB_FAILED: "The job had failed before the task's start.",
+    ResultCode.NOT_RUN_STORAGE_FAILED: "The disk refused before anything was stored.",
+    ResultCode.UNKNOWN_OWNER_UNREACHABLE: "No host that knows the job can be reached; "
+    "ask again with the same key.",
+    ResultCode.UNKNOWN_ATTEMPT_LOST: "The attempt was started and is over; no one "
+    "knows how it ended.",
+    ResultCode.UNKNOWN_NOT_CONFIRMED: "No majority, copy or disk confirmed it in time; "
+    "it may still take effect. Ask again with the same key or change id.",
+    ResultCode.UNKNOWN_NOT_READ: "The host had no memory to read the request. This "
+    "request changed nothing, but an earlier one with its key may have; ask again with "
+    "the same key.",
+    ResultCode.BAD_BODY: "The body is no JSON, or did not arrive whole in time.",
+    ResultCode.BAD_KEY: "The submission key is malformed.",
+    ResultCode.BAD_FIELD: "The named field is missing, unknown or out of range.",
+    ResultCode.TOO_LARGE: "The body is larger than 8 MiB.",
+    ResultCode.KEY_REUSED: "The key names a job with another body.",
+    ResultCode.JOB_NOT_FOUND: "The team has no job with this key, or its answer is no "
+    "longer kept.",
+    ResultCode.NOT_AUTHORIZED: "The token does not allow this.",
+    ResultCode.VERSION_CONFLICT: "Another change came first; plan anew.",
+    ResultCode.UNKNOWN_DATA_CENTRE: "The key's home is no data centre of the system.",
+    ResultCode.NOT_FOUND: "There is no such thing or route.",
+    ResultCode.TASK_FAILED: "The endpoint ran the task and it failed.",
+    ResultCode.JOB_FAILED: "At least one task did not succeed; see the tasks.",
+    ResultCode.JOB_CANCELLED: "The job was cancelled; see the tasks.",
+    ResultCode.DEADLINE_PASSED: "The deadline passed before the job was complete; see "
+    "the tasks.",
+    ResultCode.TASK_STOPPED: "The task was started and then stopped.",
+    ResultCode.INTERNAL: "An unforeseen error; what came of the request is unknown. "
+    "Ask again with the same key; see the host's log.",
+}
+
+
 def is_not_run(code: ResultCode) -> bool:
     """Tell whether a code says that nothing was started."""
     return 2000 <= code < 3000
