Decide dispatch by policies behind protocols

The decisions now stand in modules of their own: estimates, ordering, placement, admission, ejection, budgets and stragglers, with baselines behind the same protocols. Endpoints keep sums of what they hold, so that a fit takes constant time, and waiting tasks are kept per job in order of rank, so that a plan looks at no more tasks than it places and passes over.

The dispatcher tells the scheduler the result code of each end, since a refused start and a lost attempt teach different things, and plans on each tick while tasks wait, since a backoff ends without a message.

--- /dev/null
+++ b/currantwell/decisions.py
@@ -0,0 +1,74 @@
+"""The decision log: what was decided about the latest jobs, for people who ask."""
+
+import collections
+import dataclasses
+
+from .answers import Refusal
+from .ids import EndpointId, JobId
+from .policies import Reason
+from .waiting import WaitingTask
+
+__all__ = ["DecisionLog"]
+
+MAX_JOBS = 2_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    """What was decided about one job."""
+
+    placed: list[tuple[int, int, EndpointId, Reason, float]]
+    waits: Reason = Reason.BEHIND
+    refusal: Refusal | None = None
+
+
+class DecisionLog:
+    """Remembers the decisions about the latest jobs."""
+
+    def __init__(self) -> None:
+        self._jobs: collections.OrderedDict[JobId, _Entry] = collections.OrderedDict()
+
+    def placed(
+        self, task: WaitingTask, endpoint: EndpointId, reason: Reason, now_s: float
+    ) -> None:
+        """Note where a task was placed and why."""
+        waited_s = now_s - task.since_s
+        self._entry(task.job).placed.append(
+            (task.task, task.attempt, endpoint, reason, waited_s)
+        )
+
+    def waits(self, task: WaitingTask, reason: Reason) -> None:
+        """Note why a job's tasks wait."""
+        self._entry(task.job).waits = reason
+
+    def refused(self, job: JobId, refusal: Refusal) -> None:
+        """Note why a job was refused."""
+        self._entry(job).refusal = refusal
+
+    def reason(self, job: JobId) -> Reason:
+        """Return why a job's tasks waited last."""
+        entry = self._jobs.get(job)
+        return entry.waits if entry else Reason.BEHIND
+
+    def lines(self, job: JobId) -> list[str]:
+        """Return the decisions about a job as lines of text."""
+        entry = self._jobs.get(job)
+        if entry is None:
+            return []
+        lines = [
+            f"task {task}: attempt {attempt} placed at {endpoint} after "
+            f"{waited_s:.3f} s: {reason.value}"
+            for task, attempt, endpoint, reason, waited_s in entry.placed
+        ]
+        if entry.refusal is not None:
+            code = entry.refusal.code
+            lines.append(f"refused: {code.name} {code.value}: {entry.refusal.detail}")
+        return lines
+
+    def _entry(self, job: JobId) -> _Entry:
+        entry = self._jobs.get(job)
+        if entry is None:
+            entry = self._jobs[job] = _Entry([])
+            if len(self._jobs) > MAX_JOBS:
+                self._jobs.popitem(last=False)
+        return entry
--- /dev/null
+++ b/currantwell/dispatch_policies.py
@@ -0,0 +1,49 @@
+"""The policies that a host dispatches by, put together."""
+
+import random
+
+from .admission import TimelyAdmission
+from .budgets import TokenBudget
+from .ejection import EvidenceEjection
+from .estimates import LearntEstimates
+from .ordering import FairOrdering
+from .placement import TailAwarePlacement
+from .presets import PresetSource
+from .quotas import QuotaSource
+from .scheduler import Policies, Scheduler
+from .stragglers import RestartStragglers
+
+__all__ = ["dispatch_policies", "dispatch_scheduler"]
+
+
+def dispatch_policies(
+    presets: PresetSource, quotas: QuotaSource, source: random.Random
+) -> Policies:
+    """Return the policies of a host.
+
+    Parameters
+    ----------
+    presets : PresetSource
+        Knows the preset in force.
+    quotas : QuotaSource
+        Knows the quotas of teams.
+    source : random.Random
+        Where jitter comes from.
+    """
+    estimates = LearntEstimates()
+    return Policies(
+        TailAwarePlacement(),
+        FairOrdering(quotas),
+        TimelyAdmission(estimates, presets, quotas),
+        estimates,
+        EvidenceEjection(),
+        TokenBudget(source),
+        RestartStragglers(estimates),
+    )
+
+
+def dispatch_scheduler(
+    presets: PresetSource, quotas: QuotaSource, source: random.Random
+) -> Scheduler:
+    """Return a scheduler with the policies of a host."""
+    return Scheduler(dispatch_policies(presets, quotas, source), presets)
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -38,8 +38,9 @@
     JobClosed,
     Record,
 )
-from .scheduler import JobRequest, PlacedTask, Scheduler, WaitingTask
+from .scheduler import Scheduler
 from .submission import RestartRule, Submission, digest_of
+from .waiting import JobRequest, PlacedTask, WaitingTask
 
 __all__ = ["Dispatcher", "DispatcherLimits"]
 
@@ -343,10 +344,7 @@
         await self._put([]).wait()
 
     def _free(self, record: AttemptEnded, run_s: float) -> None:
-        ok: bool | None = None
-        if record.code in (ResultCode.COMPLETE, ResultCode.TASK_FAILED):
-            ok = record.code is ResultCode.COMPLETE
-        self._scheduler.ended(record.ref, ok, run_s)
+        self._scheduler.ended(record.ref, record.code, run_s, now_s())
 
     def _after_ends(self, job: Job) -> None:
         if job.cancel_code is None and job.doomed:
@@ -426,6 +424,8 @@
             await self._end_lost(now)
             for job in self._scheduler.expired(now):
                 await self._cancel(job, ResultCode.DEADLINE_PASSED)
+            if self._scheduler.waiting_tasks:
+                self._wake.set()
 
     async def _end_lost(self, now: float) -> None:
         over = [lost for lost, over_s in self._lost.items() if over_s <= now]
--- /dev/null
+++ b/currantwell/endpoint_load.py
@@ -0,0 +1,121 @@
+"""What the scheduler knows of an endpoint.
+
+Invariant: the sums of held resources equal those of the running attempts, so that
+telling whether a task fits takes constant time.
+"""
+
+from .endpoint_protocol import Announcement, AttemptRef
+from .ids import EndpointId
+from .submission import TaskSpec
+from .waiting import WaitingTask
+
+__all__ = ["EndpointLoad", "could_run"]
+
+
+def could_run(said: Announcement, spec: TaskSpec) -> bool:
+    """Tell whether an endpoint could run a task if it were empty.
+
+    Parameters
+    ----------
+    said : Announcement
+        What the endpoint said of itself.
+    spec : TaskSpec
+        The task.
+    """
+    return (
+        spec.processors <= said.processors
+        and spec.memory_mb <= said.memory_mb
+        and spec.accelerators <= said.accelerators
+        and spec.data_centre in (None, said.data_centre)
+        and spec.endpoint in (None, said.endpoint)
+    )
+
+
+class EndpointLoad:
+    """An endpoint, the attempts placed there and what they hold.
+
+    Parameters
+    ----------
+    announcement : Announcement
+        What it last said of itself.
+
+    Attributes
+    ----------
+    running : dict
+        The attempts placed there that have not ended.
+    reachable : bool
+        Whether it answers now.
+    speed : float
+        How fast it is, as learnt; 1 is the usual.
+    limit : int or None
+        Most attempts it may hold while it is on trial; None for no limit.
+    """
+
+    __slots__ = (
+        "_accelerators",
+        "_memory_mb",
+        "_processors",
+        "announcement",
+        "id",
+        "limit",
+        "long_running",
+        "reachable",
+        "running",
+        "speed",
+    )
+
+    def __init__(self, announcement: Announcement) -> None:
+        self.announcement = announcement
+        self.id: EndpointId = announcement.endpoint
+        self.running: dict[AttemptRef, WaitingTask] = {}
+        self.reachable = True
+        self.speed = 1.0
+        self.limit: int | None = None
+        self.long_running = 0
+        self._processors = 0.0
+        self._memory_mb = 0
+        self._accelerators = 0
+
+    def free(self, prefetch: int = 0) -> int:
+        """Return how many more attempts it may be given.
+
+        Parameters
+        ----------
+        prefetch : int
+            Attempts it may be given beyond its slots, as far as it has a queue.
+        """
+        said = self.announcement
+        if said.draining or not self.reachable:
+            return 0
+        most = said.slots + min(prefetch, said.queue)
+        if self.limit is not None:
+            most = min(most, self.limit)
+        return most - len(self.running)
+
+    def fits(self, spec: TaskSpec) -> bool:
+        """Tell whether its free resources suffice for a task."""
+        said = self.announcement
+        return (
+            could_run(said, spec)
+            and self._processors + spec.processors <= said.processors
+            and self._memory_mb + spec.memory_mb <= said.memory_mb
+            and self._accelerators + spec.accelerators <= said.accelerators
+        )
+
+    def hold(self, ref: AttemptRef, task: WaitingTask) -> None:
+        """Count an attempt."""
+        self.running[ref] = task
+        self._count(task, 1)
+
+    def release(self, ref: AttemptRef) -> None:
+        """Count an attempt no more."""
+        task = self.running.pop(ref, None)
+        if task is not None:
+            self._count(task, -1)
+
+    def _count(self, task: WaitingTask, sign: int) -> None:
+        spec = task.spec
+        self._processors += sign * spec.processors
+        self._memory_mb += sign * spec.memory_mb
+        self._accelerators += sign * spec.accelerators
+        self.long_running += sign * task.long
--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -1,6 +1,7 @@
 """An entry host: the services of one process, put together."""
 
 import json
+import random
 import signal
 import sys
 
@@ -8,6 +9,7 @@
 
 from . import events
 from .clock import SystemCalendar
+from .dispatch_policies import dispatch_scheduler
 from .dispatcher import Dispatcher, DispatcherLimits
 from .http_api import HttpApi
 from .http_server import HttpServer, bind
@@ -15,8 +17,9 @@
 from .job_log import LocalJobLog
 from .journal import DiskJournal, Journal, MemoryJournal
 from .kernel import Kernel
+from .presets import FixedPreset
+from .quotas import EqualQuotas
 from .router import Router, StaticDirectory
-from .scheduler import AdmitAll, FifoOrdering, LeastLoaded, Scheduler
 from .settings import HostSettings
 
 __all__ = ["Host", "run_host"]
@@ -46,7 +49,7 @@
             self.settings.data_centre,
             epoch,
             LocalJobLog(self._journal("jobs")),
-            Scheduler(LeastLoaded(), FifoOrdering(), AdmitAll()),
+            dispatch_scheduler(FixedPreset(), EqualQuotas(), random.Random()),
             SystemCalendar(),
             DispatcherLimits(endpoint_lease_s=self.settings.endpoint_lease_s),
         )
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -2,229 +2,56 @@
 
 The scheduler does no I/O and reads no clock: its caller tells it what happened and
 when, and carries out the placements that `Scheduler.plan` returns. What varies
-between policies stands behind the `Placement`, `Ordering` and `Admission`
-protocols.
+stands behind the protocols of `policies`.
+
+Invariants: a task is either waiting, delayed or placed; each placement that `plan`
+returns counts as started until `ended` is told of it, whatever became of its
+endpoint.
 """
 
 import dataclasses
+import heapq
 from collections.abc import Sequence
-from typing import Protocol
 
 from .answers import Refusal
+from .backlog import Backlog
 from .codes import ResultCode
+from .decisions import DecisionLog
+from .endpoint_load import EndpointLoad
 from .endpoint_protocol import Announcement, AttemptRef
-from .ids import EndpointId, Incarnation, JobId, Team
-from .submission import TaskSpec
-
-__all__ = [
-    "Admission",
-    "AdmitAll",
-    "EndpointLoad",
-    "FifoOrdering",
-    "JobRequest",
-    "LeastLoaded",
-    "Ordering",
-    "PlacedTask",
-    "Placement",
-    "Scheduler",
-    "WaitingTask",
-]
+from .ids import EndpointId, JobId
+from .policies import (
+    Admission,
+    Ejection,
+    Estimator,
+    Ordering,
+    Placement,
+    Reason,
+    RetryBudget,
+    StragglerRule,
+)
+from .presets import FixedPreset, Preset, PresetSource
+from .waiting import JobGroup, JobRequest, PlacedTask, Shape, WaitingTask, shape_of
+
+__all__ = ["Policies", "Scheduler"]
+
+LONG_TASK_S = 2.0
+BUDGET_PAUSE_S = 0.1
+RAN_CODES = frozenset({ResultCode.COMPLETE, ResultCode.TASK_FAILED})
+REFUSED_CODES = frozenset({ResultCode.NOT_RUN_OVERLOADED})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class JobRequest:
-    """What the scheduler knows of a job.
-
-    Parameters
-    ----------
-    job : JobId
-        The job.
-    team : Team
-        The team that submitted it.
-    tasks : sequence of TaskSpec
-        Its tasks.
-    deadline_s : float
-        When it is too late to start a task, on the runtime's clock.
-    """
-
-    job: JobId
-    team: Team
-    tasks: Sequence[TaskSpec]
-    deadline_s: float
-
-
-@dataclasses.dataclass(slots=True)
-class WaitingTask:
-    """A task that may be started now."""
-
-    job: JobId
-    team: Team
-    task: int
-    attempt: int
-    spec: TaskSpec
-    deadline_s: float
-    since_s: float
-
-
-@dataclasses.dataclass(slots=True)
-class EndpointLoad:
-    """What the scheduler knows of an endpoint.
-
-    Parameters
-    ----------
-    announcement : Announcement
-        What it last said of itself.
-    running : dict
-        The attempts placed there that have not ended.
-    reachable : bool
-        Whether it answers now.
-    """
-
-    announcement: Announcement
-    running: dict[AttemptRef, WaitingTask]
-    reachable: bool = True
-
-    @property
-    def id(self) -> EndpointId:
-        """The endpoint's id."""
-        return self.announcement.endpoint
-
-    def fits(self, spec: TaskSpec) -> bool:
-        """Tell whether the endpoint has room for a task now."""
-        said = self.announcement
-        held = self.running.values()
-        if said.draining or not self.reachable or len(held) >= said.slots:
-            return False
-        return (
-            self.could_run(spec)
-            and sum(t.spec.processors for t in held) + spec.processors
-            <= said.processors
-            and sum(t.spec.memory_mb for t in held) + spec.memory_mb <= said.memory_mb
-            and sum(t.spec.accelerators for t in held) + spec.accelerators
-            <= said.accelerators
-        )
-
-    def could_run(self, spec: TaskSpec) -> bool:
-        """Tell whether the endpoint could run a task if it were empty."""
-        said = self.announcement
-        return (
-            spec.processors <= said.processors
-            and spec.memory_mb <= said.memory_mb
-            and spec.accelerators <= said.accelerators
-            and spec.data_centre in (None, said.data_centre)
-            and spec.endpoint in (None, said.endpoint)
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlacedTask:
-    """A decision to start a task at an endpoint."""
-
-    task: WaitingTask
-    endpoint: EndpointId
-    incarnation: Incarnation
-
-    @property
-    def ref(self) -> AttemptRef:
-        """The attempt that the decision starts."""
-        return AttemptRef(self.task.job, self.task.task, self.task.attempt)
-
-
-class Placement(Protocol):
-    """Chooses the endpoint of a task."""
-
-    def choose(
-        self, task: WaitingTask, endpoints: Sequence[EndpointLoad], now_s: float
-    ) -> EndpointLoad | None:
-        """Return one of the endpoints, all of which have room, or None to wait."""
-        ...
-
-    def ended(
-        self, endpoint: EndpointId, task: WaitingTask, ok: bool, run_s: float
-    ) -> None:
-        """Learn from an attempt that ran for so long at an endpoint."""
-        ...
-
-
-class Ordering(Protocol):
-    """Keeps the waiting tasks in the order in which they are placed."""
-
-    def add(self, task: WaitingTask) -> None:
-        """Add a task."""
-        ...
-
-    def candidates(self, now_s: float) -> Sequence[WaitingTask]:
-        """Return the waiting tasks, first to start first."""
-        ...
-
-    def discard(self, task: WaitingTask) -> None:
-        """Take a task out."""
-        ...
-
-
-class Admission(Protocol):
-    """Decides whether a job is let in."""
-
-    def check(
-        self, request: JobRequest, endpoints: Sequence[EndpointLoad], now_s: float
-    ) -> Refusal | None:
-        """Return why the job is refused, or None."""
-        ...
-
-
-class LeastLoaded:
-    """Places a task at the endpoint with the smallest share of busy slots."""
-
-    def choose(
-        self, task: WaitingTask, endpoints: Sequence[EndpointLoad], now_s: float
-    ) -> EndpointLoad | None:
-        """Return the least loaded endpoint."""
-        return min(
-            endpoints,
-            key=lambda e: len(e.running) / e.announcement.slots,
-            default=None,
-        )
+class Policies:
+    """Everything that decides."""
 
-    def ended(
-        self, endpoint: EndpointId, task: WaitingTask, ok: bool, run_s: float
-    ) -> None:
-        """Learn nothing."""
-
-
-class FifoOrdering:
-    """First come, first served."""
-
-    def __init__(self) -> None:
-        self._tasks: dict[tuple[JobId, int], WaitingTask] = {}
-
-    def add(self, task: WaitingTask) -> None:
-        """Add a task at the end."""
-        self._tasks[task.job, task.task] = task
-
-    def candidates(self, now_s: float) -> Sequence[WaitingTask]:
-        """Return the waiting tasks, oldest first."""
-        return list(self._tasks.values())
-
-    def discard(self, task: WaitingTask) -> None:
-        """Take a task out."""
-        self._tasks.pop((task.job, task.task), None)
-
-
-class AdmitAll:
-    """Lets in every job that some endpoint could run."""
-
-    def check(
-        self, request: JobRequest, endpoints: Sequence[EndpointLoad], now_s: float
-    ) -> Refusal | None:
-        """Refuse a job with a task that no known endpoint could ever run."""
-        for index, spec in enumerate(request.tasks):
-            if not any(endpoint.could_run(spec) for endpoint in endpoints):
-                return Refusal(
-                    ResultCode.NOT_RUN_IMPOSSIBLE,
-                    "no known endpoint could run this task",
-                    field=f"tasks[{index}]",
-                )
-        return None
+    placement: Placement
+    ordering: Ordering
+    admission: Admission
+    estimates: Estimator
+    ejection: Ejection
+    retries: RetryBudget
+    stragglers: StragglerRule
 
 
 class Scheduler:
@@ -232,32 +59,42 @@
 
     Parameters
     ----------
-    placement : Placement
-        Chooses endpoints.
-    ordering : Ordering
-        Keeps the queue.
-    admission : Admission
-        Lets jobs in.
+    policies : Policies
+        What decides.
+    presets : PresetSource or None
+        Knows the preset in force.
     """
 
-    def __init__(
-        self, placement: Placement, ordering: Ordering, admission: Admission
-    ) -> None:
-        self._placement = placement
-        self._ordering = ordering
-        self._admission = admission
+    def __init__(self, policies: Policies, presets: PresetSource | None = None) -> None:
+        self._policies = policies
+        self._presets = presets or FixedPreset()
+        self._decisions = DecisionLog()
+        self._backlog = Backlog()
         self._endpoints: dict[EndpointId, EndpointLoad] = {}
         self._waiting: dict[JobId, dict[int, WaitingTask]] = {}
         self._placed: dict[AttemptRef, tuple[EndpointId, WaitingTask]] = {}
+        self._deadlines: list[tuple[float, JobId]] = []
+        self._delayed: list[tuple[float, int, WaitingTask]] = []
+        self._delays = 0
 
     @property
     def endpoints(self) -> Sequence[EndpointLoad]:
         """All known endpoints."""
         return list(self._endpoints.values())
 
+    @property
+    def waiting_tasks(self) -> int:
+        """How many tasks wait."""
+        return self._backlog.tasks
+
     def admit(self, request: JobRequest, now_s: float) -> Refusal | None:
         """Return why a new job is refused, or None if it may be added."""
-        return self._admission.check(request, self.endpoints, now_s)
+        refusal = self._policies.admission.check(
+            request, self.endpoints, self._backlog, now_s
+        )
+        if refusal is not None:
+            self._decisions.refused(request.job, refusal)
+        return refusal
 
     def add(self, request: JobRequest, attempts: dict[int, int], now_s: float) -> None:
         """Queue tasks of a job.
@@ -271,37 +108,43 @@
         now_s : float
             The runtime's clock.
         """
-        for index, attempt in attempts.items():
-            task = WaitingTask(
-                request.job,
-                request.team,
-                index,
-                attempt,
-                request.tasks[index],
-                request.deadline_s,
-                now_s,
-            )
-            self._waiting.setdefault(request.job, {})[index] = task
-            self._ordering.add(task)
+        if not attempts:
+            return
+        group = JobGroup(request.job, request.team, now_s)
+        tasks = [
+            self._new_task(request, group, index, attempt, now_s)
+            for index, attempt in attempts.items()
+        ]
+        waiting = self._waiting.setdefault(request.job, {})
+        for task in tasks:
+            waiting[task.task] = task
+            self._backlog.add(task)
+        heapq.heappush(self._deadlines, (request.deadline_s, request.job))
+        first = [task for task in tasks if task.attempt <= 1]
+        if first:
+            self._policies.ordering.add(first, now_s)
+        for task in tasks:
+            if task.attempt > 1:
+                self._delay(task, self._policies.retries.backoff_s(task), now_s)
 
     def hold(self, ref: AttemptRef, endpoint: EndpointId, task: WaitingTask) -> None:
         """Count an attempt that an endpoint was found to hold."""
         self._placed[ref] = (endpoint, task)
         if endpoint in self._endpoints:
-            self._endpoints[endpoint].running[ref] = task
+            self._endpoints[endpoint].hold(ref, task)
 
     def endpoint_announced(self, announcement: Announcement, now_s: float) -> None:
         """Take in what an endpoint says of itself."""
         load = self._endpoints.get(announcement.endpoint)
-        if load is None:
-            running = {
-                ref: task
-                for ref, (endpoint, task) in self._placed.items()
-                if endpoint == announcement.endpoint
-            }
-            load = EndpointLoad(announcement, running)
-            self._endpoints[announcement.endpoint] = load
-        load.announcement = announcement
+        if load is not None:
+            load.announcement = announcement
+            return
+        load = self._endpoints[announcement.endpoint] = EndpointLoad(announcement)
+        load.speed = self._policies.estimates.speed(load.id)
+        for ref, (endpoint, task) in self._placed.items():
+            if endpoint == announcement.endpoint:
+                load.hold(ref, task)
+        self._policies.admission.membership_changed(now_s)
 
     def endpoint_reachable(self, endpoint: EndpointId, reachable: bool) -> None:
         """Note whether an endpoint answers; one that does not gets no start."""
@@ -311,77 +154,186 @@
     def endpoint_removed(self, endpoint: EndpointId) -> None:
         """Forget an endpoint; its attempts stay placed until they end."""
         self._endpoints.pop(endpoint, None)
+        self._policies.ejection.forget(endpoint)
 
     def plan(self, now_s: float) -> list[PlacedTask]:
         """Place waiting tasks; each returned placement counts as started."""
-        placed: list[PlacedTask] = []
-        room = [load for load in self._endpoints.values() if load.reachable]
-        for task in self._ordering.candidates(now_s):
-            if not room:
-                break
-            if task.deadline_s <= now_s:
-                continue
-            fitting = [load for load in room if load.fits(task.spec)]
-            load = self._placement.choose(task, fitting, now_s) if fitting else None
-            if load is not None:
-                placed.append(self._place(task, load))
-                if len(load.running) >= load.announcement.slots:
-                    room.remove(load)
-        return placed
+        self._release_delayed(now_s)
+        if not self._backlog.tasks:
+            return []
+        preset = self._presets.preset()
+        ordered = sorted(self._endpoints.values(), key=_slowness)
+        self._limit(ordered, now_s)
+        room = [load for load in ordered if load.free(preset.prefetch) > 0]
+        if not room:
+            return []
+        return self._match(ordered, room, preset, now_s)
 
-    def ended(self, ref: AttemptRef, ok: bool | None, run_s: float) -> None:
-        """Free what an attempt took.
+    def ended(
+        self, ref: AttemptRef, code: ResultCode, run_s: float, now_s: float
+    ) -> None:
+        """Free what an attempt took, and learn from it.
 
         Parameters
         ----------
         ref : AttemptRef
             The attempt.
-        ok : bool or None
-            Whether it succeeded; None if it never ran or no one knows.
+        code : ResultCode
+            How it ended.
         run_s : float
             How long it ran.
+        now_s : float
+            The runtime's clock.
         """
         endpoint, task = self._placed.pop(ref, (None, None))
         if endpoint is None or task is None:
             return
-        if endpoint in self._endpoints:
-            self._endpoints[endpoint].running.pop(ref, None)
-        if ok is not None:
-            self._placement.ended(endpoint, task, ok, run_s)
+        load = self._endpoints.get(endpoint)
+        if load is not None:
+            load.release(ref)
+        if code is ResultCode.COMPLETE:
+            self._policies.estimates.learn(endpoint, task, run_s)
+            if load is not None:
+                load.speed = self._policies.estimates.speed(endpoint)
+        if load is not None and code in RAN_CODES:
+            ok = code is ResultCode.COMPLETE
+            self._policies.ejection.learn(endpoint, task.spec.kind, ok, now_s)
+        elif load is not None and code in REFUSED_CODES:
+            self._policies.ejection.refused(endpoint, now_s)
 
     def expired(self, now_s: float) -> list[JobId]:
-        """Return the jobs with waiting tasks whose deadline has passed."""
-        return [
-            job
-            for job, tasks in self._waiting.items()
-            if any(task.deadline_s <= now_s for task in tasks.values())
-        ]
+        """Return the jobs with waiting tasks whose deadline has passed, once each."""
+        jobs = []
+        while self._deadlines and self._deadlines[0][0] <= now_s:
+            _, job = heapq.heappop(self._deadlines)
+            if job in self._waiting:
+                jobs.append(job)
+        return jobs
+
+    def stragglers(self, now_s: float) -> list[AttemptRef]:
+        """Return attempts that are better stopped and, once over, started anew."""
+        return self._policies.stragglers.pick(
+            self.endpoints, self._presets.preset(), now_s
+        )
 
     def remove(self, job: JobId) -> None:
         """Take all waiting tasks of a job out of the queue."""
         for task in self._waiting.pop(job, {}).values():
-            self._ordering.discard(task)
+            self._policies.ordering.discard(task)
+            self._backlog.remove(task)
 
     def explain(self, job: JobId) -> list[str]:
-        """Say for each waiting or started task of a job why it stands there."""
+        """Say for each task of a job why it waits, went where it went, or ended."""
+        reason = self._decisions.reason(job).value
         lines = [
-            f"task {task.task}: waits since {task.since_s:.3f} s"
+            f"task {task.task}: waits since {task.since_s:.3f} s: {reason}"
             for task in self._waiting.get(job, {}).values()
         ]
-        lines.extend(
-            f"task {ref.task}: attempt {ref.attempt} placed at {endpoint}"
-            for ref, (endpoint, _) in self._placed.items()
-            if ref.job == job
-        )
-        return lines
+        return self._decisions.lines(job) + lines
+
+    # How it matches.
+
+    def _match(
+        self,
+        ordered: Sequence[EndpointLoad],
+        room: list[EndpointLoad],
+        preset: Preset,
+        now_s: float,
+    ) -> list[PlacedTask]:
+        policies = self._policies
+        policies.placement.begin(ordered, preset, now_s)
+        slots = sum(load.announcement.slots for load in ordered)
+        placed: list[PlacedTask] = []
+        blocked: set[Shape] = set()
+        for task in policies.ordering.candidates(slots, now_s):
+            if task.deadline_s <= now_s or task.shape in blocked:
+                continue
+            fitting = [load for load in room if load.fits(task.spec)]
+            if not fitting:
+                blocked.add(task.shape)
+                self._decisions.waits(task, Reason.NO_ROOM)
+                continue
+            choice = policies.placement.choose(task, fitting, now_s)
+            if choice.endpoint is None:
+                self._decisions.waits(task, choice.reason)
+                continue
+            placed.append(self._place(task, choice.endpoint, choice.reason, now_s))
+            if choice.endpoint.free(preset.prefetch) <= 0:
+                room.remove(choice.endpoint)
+                if not room:
+                    break
+        return placed
 
-    def _place(self, task: WaitingTask, load: EndpointLoad) -> PlacedTask:
+    def _place(
+        self, task: WaitingTask, load: EndpointLoad, reason: Reason, now_s: float
+    ) -> PlacedTask:
         placed = PlacedTask(task, load.id, load.announcement.incarnation)
-        self._ordering.discard(task)
+        task.started_s = now_s
         waiting = self._waiting[task.job]
         del waiting[task.task]
         if not waiting:
             del self._waiting[task.job]
-        load.running[placed.ref] = task
-        self._placed[placed.ref] = (load.id, task)
+        self._backlog.remove(task)
+        self._policies.ordering.discard(task)
+        self._policies.ordering.started(task, now_s)
+        if task.attempt <= 1:
+            self._policies.retries.earn(task, self._presets.preset().restarts_share)
+        if task.group is not None:
+            task.group.work_s -= task.estimate_s
+            end_s = now_s + task.estimate_s / load.speed
+            task.group.end_s = max(task.group.end_s, end_s)
+        ref = placed.ref
+        load.hold(ref, task)
+        self._placed[ref] = (load.id, task)
+        self._decisions.placed(task, load.id, reason, now_s)
         return placed
+
+    def _limit(self, ordered: Sequence[EndpointLoad], now_s: float) -> None:
+        limits = self._policies.ejection.limits(ordered, now_s)
+        for load in ordered:
+            load.limit = limits.get(load.id)
+
+    def _new_task(
+        self,
+        request: JobRequest,
+        group: JobGroup,
+        index: int,
+        attempt: int,
+        now_s: float,
+    ) -> WaitingTask:
+        spec = request.tasks[index]
+        estimate_s = self._policies.estimates.estimate_s(spec.kind, spec.run_time_s)
+        group.work_s += estimate_s
+        group.longest_s = max(group.longest_s, estimate_s)
+        return WaitingTask(
+            request.job,
+            request.team,
+            index,
+            attempt,
+            spec,
+            request.deadline_s,
+            now_s,
+            estimate_s,
+            estimate_s >= LONG_TASK_S,
+            group,
+            shape_of(spec),
+        )
+
+    def _delay(self, task: WaitingTask, wait_s: float, now_s: float) -> None:
+        self._delays += 1
+        heapq.heappush(self._delayed, (now_s + wait_s, self._delays, task))
+        self._decisions.waits(task, Reason.BACKOFF)
+
+    def _release_delayed(self, now_s: float) -> None:
+        while self._delayed and self._delayed[0][0] <= now_s:
+            _, _, task = heapq.heappop(self._delayed)
+            if self._waiting.get(task.job, {}).get(task.task) is not task:
+                continue
+            if self._policies.retries.take(task, now_s):
+                self._policies.ordering.add([task], now_s)
+            else:
+                self._delay(task, BUDGET_PAUSE_S, now_s)
+
+
+def _slowness(load: EndpointLoad) -> float:
+    return -load.speed
--- /dev/null
+++ b/currantwell/waiting.py
@@ -0,0 +1,127 @@
+"""Jobs and tasks as the scheduler sees them."""
+
+import dataclasses
+from collections.abc import Sequence
+
+from .endpoint_protocol import AttemptRef
+from .ids import EndpointId, Incarnation, JobId, Team
+from .submission import TaskSpec
+
+__all__ = ["JobGroup", "JobRequest", "PlacedTask", "Shape", "WaitingTask", "shape_of"]
+
+Shape = tuple[float, int, int, str | None, str | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobRequest:
+    """What the scheduler knows of a job.
+
+    Parameters
+    ----------
+    job : JobId
+        The job.
+    team : Team
+        The team that submitted it.
+    tasks : sequence of TaskSpec
+        Its tasks.
+    deadline_s : float
+        When it is too late to start a task, on the runtime's clock.
+    """
+
+    job: JobId
+    team: Team
+    tasks: Sequence[TaskSpec]
+    deadline_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class JobGroup:
+    """What the tasks of one job have in common.
+
+    Parameters
+    ----------
+    job : JobId
+        The job.
+    team : Team
+        Its team.
+    since_s : float
+        When it was queued.
+    work_s : float
+        Estimated run time of its waiting tasks together.
+    longest_s : float
+        Estimated run time of its longest task.
+    end_s : float
+        When the last of its started tasks is expected to end.
+    """
+
+    job: JobId
+    team: Team
+    since_s: float
+    work_s: float = 0.0
+    longest_s: float = 0.0
+    end_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class WaitingTask:
+    """A task that may be started now.
+
+    Parameters
+    ----------
+    job, team, task, attempt
+        What it is.
+    spec : TaskSpec
+        What it asks for.
+    deadline_s : float
+        When it is too late to start it.
+    since_s : float
+        Since when it waits.
+    estimate_s : float
+        Estimated run time at speed 1.
+    long : bool
+        Whether it counts as long.
+    group : JobGroup or None
+        Its job; None for an attempt found at an endpoint.
+    shape : Shape
+        What it needs of an endpoint; tasks of one shape fit the same endpoints.
+    started_s : float
+        When it was placed, if it was.
+    """
+
+    job: JobId
+    team: Team
+    task: int
+    attempt: int
+    spec: TaskSpec
+    deadline_s: float
+    since_s: float
+    estimate_s: float = 0.0
+    long: bool = False
+    group: JobGroup | None = None
+    shape: Shape = (1.0, 0, 0, None, None)
+    started_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacedTask:
+    """A decision to start a task at an endpoint."""
+
+    task: WaitingTask
+    endpoint: EndpointId
+    incarnation: Incarnation
+
+    @property
+    def ref(self) -> AttemptRef:
+        """The attempt that the decision starts."""
+        return AttemptRef(self.task.job, self.task.task, self.task.attempt)
+
+
+def shape_of(spec: TaskSpec) -> Shape:
+    """Return what a task needs of an endpoint."""
+    return (
+        spec.processors,
+        spec.memory_mb,
+        spec.accelerators,
+        spec.data_centre,
+        spec.endpoint,
+    )
