Add the bench of dispatch policies

It feeds the real scheduler from fakes of workers and of the dispatcher's commits on a clock of events, and prints a table of all policies on the same arrivals.

--- /dev/null
+++ b/currantwell/bench.py
@@ -0,0 +1,214 @@
+"""The bench: every policy on the same arrivals, and the table of their figures."""
+
+import dataclasses
+import math
+import random
+import statistics
+from collections.abc import Callable, Sequence
+
+from .baselines import (
+    LeastLoaded,
+    PowerOfTwoChoices,
+    RandomChoice,
+    RoundRobin,
+    baseline,
+)
+from .bench_loads import WARM_UP_S, Load, make_load
+from .bench_run import JobOutcome, RunFigures, run_load
+from .codes import ResultCode
+from .dispatch_policies import dispatch_policies
+from .ideal import ideal_response_s
+from .presets import ORDINARY, FixedPreset, Preset
+from .quotas import EqualQuotas
+from .scheduler import Policies, Scheduler
+
+__all__ = ["POLICIES", "Measures", "Summary", "measure", "run_bench", "table"]
+
+SHORT_TASK_S = 1.0
+
+PolicyMaker = Callable[[Preset, random.Random], Policies]
+
+
+def _own(preset: Preset, source: random.Random) -> Policies:
+    return dispatch_policies(FixedPreset(preset), EqualQuotas(), source)
+
+
+POLICIES: dict[str, PolicyMaker] = {
+    "currantwell": _own,
+    "random": lambda preset, source: baseline(RandomChoice(source)),
+    "round-robin": lambda preset, source: baseline(RoundRobin()),
+    "least-loaded": lambda preset, source: baseline(LeastLoaded()),
+    "two-choices": lambda preset, source: baseline(PowerOfTwoChoices(source)),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measures:
+    """The measures of one run.
+
+    Parameters
+    ----------
+    ratio_mean, ratio_p99 : float
+        Job response over the ideal.
+    busy : float
+        Share of slots busy.
+    wasted : float
+        Wasted messages per useful start.
+    in_time : float
+        Share of accepted jobs whose answer came before the deadline, those
+        cancelled by their callers left out.
+    accepted : float
+        Share of jobs let in.
+    goodput : float
+        Work of jobs answered in time, over capacity.
+    short_wait_p99_s : float
+        99th percentile of the wait of short tasks.
+    failed : int
+        Jobs that failed.
+    """
+
+    ratio_mean: float
+    ratio_p99: float
+    busy: float
+    wasted: float
+    in_time: float
+    accepted: float
+    goodput: float
+    short_wait_p99_s: float
+    failed: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """Mean and spread of a measure over seeds."""
+
+    mean: float
+    low: float
+    high: float
+
+
+def _percentile(values: Sequence[float], share: float) -> float:
+    if not values:
+        return math.nan
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _mean(values: Sequence[float]) -> float:
+    return statistics.fmean(values) if values else math.nan
+
+
+def ideals_s(load: Load) -> dict[str, float]:
+    """Return the ideal response time of each job of a load."""
+    speeds = [worker.speed for worker in load.workers]
+    slots = load.workers[0].slots
+    return {job.id: ideal_response_s(job.run_s, speeds, slots) for job in load.jobs}
+
+
+def measure(
+    load: Load,
+    figures: RunFigures,
+    ideals: dict[str, float],
+    warm_up_s: float = WARM_UP_S,
+) -> Measures:
+    """Work out the measures of a run from what it counted after the warm-up."""
+    counted = [o for o in figures.outcomes if o.job.at_s >= warm_up_s]
+    accepted = [o for o in counted if o.refused is None]
+    kept = [o for o in accepted if o.code is not ResultCode.JOB_CANCELLED]
+    ratios = [
+        o.response_s / ideals[o.job.id]
+        for o in kept
+        if o.code is ResultCode.COMPLETE and o.job.team != "flooder"
+    ]
+    seconds = load.end_s - warm_up_s
+    slots = sum(worker.slots for worker in load.workers)
+    waits = [
+        wait_s
+        for at_s, run_s, wait_s in figures.waits_s
+        if at_s >= warm_up_s and run_s <= SHORT_TASK_S
+    ]
+    return Measures(
+        ratio_mean=_mean(ratios),
+        ratio_p99=_percentile(ratios, 0.99),
+        busy=figures.busy_s / slots / load.end_s,
+        wasted=figures.wasted / max(1, figures.useful),
+        in_time=sum(o.in_time for o in kept) / max(1, len(kept)),
+        accepted=len(accepted) / max(1, len(counted)),
+        goodput=_goodput(counted, load.capacity * seconds),
+        short_wait_p99_s=_percentile(waits, 0.99),
+        failed=sum(o.code is ResultCode.JOB_FAILED for o in kept),
+    )
+
+
+def _goodput(outcomes: Sequence[JobOutcome], whole_s: float) -> float:
+    return sum(sum(o.job.run_s) for o in outcomes if o.in_time) / whole_s
+
+
+def run_once(load: Load, policy: PolicyMaker, preset: Preset, seed: int) -> RunFigures:
+    """Run one policy on one load."""
+    policies = policy(preset, random.Random(seed))
+    return run_load(load, Scheduler(policies, FixedPreset(preset)))
+
+
+def run_bench(
+    load_name: str,
+    policies: dict[str, PolicyMaker],
+    seeds: Sequence[int],
+    seconds: float,
+    preset: Preset = ORDINARY,
+) -> dict[str, list[Measures]]:
+    """Run every policy on the same arrivals of each seed.
+
+    Parameters
+    ----------
+    load_name : str
+        The load.
+    policies : dict
+        Makers of policies by name.
+    seeds : sequence of int
+        The seeds.
+    seconds : float
+        For how long jobs arrive, the warm-up included.
+    preset : Preset
+        The preset in force.
+
+    Returns
+    -------
+    dict
+        For each policy its measures, one for each seed.
+    """
+    results: dict[str, list[Measures]] = {name: [] for name in policies}
+    for seed in seeds:
+        load = make_load(load_name, seed, seconds)
+        ideals = ideals_s(load)
+        for name, policy in policies.items():
+            figures = run_once(load, policy, preset, seed)
+            results[name].append(measure(load, figures, ideals))
+    return results
+
+
+def summary(measures: Sequence[Measures], field: str) -> Summary:
+    """Return the mean and the spread of a measure."""
+    values = [float(getattr(one, field)) for one in measures]
+    return Summary(_mean(values), min(values), max(values))
+
+
+def table(load_name: str, results: dict[str, list[Measures]]) -> str:
+    """Return the figures of a load as a table in Markdown."""
+    fields = [field.name for field in dataclasses.fields(Measures)]
+    lines = [
+        f"### {load_name}",
+        "",
+        "| policy | " + " | ".join(fields) + " |",
+        "|---" * (len(fields) + 1) + "|",
+    ]
+    for name, measures in results.items():
+        cells = [_cell(summary(measures, field)) for field in fields]
+        lines.append(f"| {name} | " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+def _cell(found: Summary) -> str:
+    if found.low == found.high:
+        return f"{found.mean:.3f}"
+    return f"{found.mean:.3f} ({found.low:.3f} to {found.high:.3f})"
--- a/currantwell/cli/__init__.py
+++ b/currantwell/cli/__init__.py
@@ -3,6 +3,7 @@
 import click
 
 from .. import __version__
+from .bench import bench
 from .demo import demo
 from .endpoint import endpoint
 from .host import host
@@ -17,5 +18,5 @@
     """Dispatch sub-second tasks."""
 
 
-for _command in (demo, endpoint, host, job):
+for _command in (bench, demo, endpoint, host, job):
     main.add_command(_command)
