Close the request contexts of a host that stops

Cause: contexts of the listener were left to the garbage collector, which found their socket closed and warned of it once per context. Each is now closed by the task that serves it.

--- a/currantwell/peers.py
+++ b/currantwell/peers.py
@@ -171,11 +171,12 @@
             socket.close()
 
     async def _serve(self, context: Any) -> None:
-        while True:
-            data = await context.arecv()
-            answer = await self._answer(data)
-            if answer is not None:
-                await context.asend(self._seal(answer))
+        with context:
+            while True:
+                data = await context.arecv()
+                answer = await self._answer(data)
+                if answer is not None:
+                    await context.asend(self._seal(answer))
 
     async def _answer(self, data: bytes) -> PeerMessage | None:
         frame = self._unseal(data)
