Agree among hosts by a replicated log

Cause: commands were ordered by one host alone.

A host that comes back with an empty disk is a new member: it learns first and votes once it holds all that is committed.

Ruled out: replies as requests of their own (two requests per heartbeat instead of one); results sent back by the leader (the proposer applies the command itself, so its own state holds it when the call returns).

--- /dev/null
+++ b/currantwell/consensus_log.py
@@ -0,0 +1,115 @@
+"""The log of a member in memory: a snapshot and the entries after it.
+
+Invariants: indexes are without gaps; the membership is that of the newest entry
+that carries one, committed or not, else that of the snapshot. Some entries before
+the snapshot's index may be held longer, for members that are little behind.
+"""
+
+from collections.abc import Sequence
+
+from .consensus_messages import Entry, Membership, Snapshot
+
+__all__ = ["Log"]
+
+
+class Log:
+    """Entries of a member.
+
+    Parameters
+    ----------
+    snapshot : Snapshot
+        What the earlier entries have led to.
+    entries : sequence of Entry
+        All entries after it.
+    """
+
+    def __init__(self, snapshot: Snapshot, entries: Sequence[Entry] = ()) -> None:
+        self._start_index = 0
+        self._start_term = 0
+        self._entries: list[Entry] = []
+        self._memberships: list[tuple[int, Membership]] = []
+        self._reset(snapshot, entries)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the newest entry."""
+        return self._start_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the newest entry."""
+        return self._entries[-1].term if self._entries else self._start_term
+
+    @property
+    def membership(self) -> Membership:
+        """Who takes part."""
+        if self._memberships:
+            return self._memberships[-1][1]
+        return self.snapshot.membership
+
+    @property
+    def membership_index(self) -> int:
+        """Index of the entry that the membership comes from."""
+        return self._memberships[-1][0] if self._memberships else self.snapshot.index
+
+    def membership_at(self, index: int) -> Membership:
+        """Return who takes part as of an entry, not before the snapshot's."""
+        found = self.snapshot.membership
+        for at, membership in self._memberships:
+            if at <= index:
+                found = membership
+        return found
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, None if it is not held."""
+        if index == self._start_index:
+            return self._start_term
+        if self._start_index < index <= self.last_index:
+            return self._entries[index - self._start_index - 1].term
+        return None
+
+    def slice(self, first: int, last: int) -> Sequence[Entry]:
+        """Return the entries from one index to another, both included."""
+        return self._entries[first - self._start_index - 1 : last - self._start_index]
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Add entries that follow the newest."""
+        self._entries.extend(entries)
+        self._memberships.extend(
+            (entry.index, entry.membership)
+            for entry in entries
+            if entry.membership is not None
+        )
+
+    def truncate(self, last: int) -> None:
+        """Drop all entries after an index."""
+        del self._entries[last - self._start_index :]
+        while self._memberships and self._memberships[-1][0] > last:
+            self._memberships.pop()
+
+    def compact(self, snapshot: Snapshot, keep: int) -> None:
+        """Put a snapshot in the place of entries, but for the newest ``keep``."""
+        self.snapshot = snapshot
+        start = max(self._start_index, snapshot.index - keep)
+        term = self.term_at(start)
+        assert term is not None
+        del self._entries[: start - self._start_index]
+        self._start_index, self._start_term = start, term
+        self._memberships = [
+            pair for pair in self._memberships if pair[0] > snapshot.index
+        ]
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Put a snapshot in the place of all entries, but for those that follow it."""
+        kept: Sequence[Entry] = ()
+        if self.term_at(snapshot.index) == snapshot.term:
+            kept = list(self.slice(snapshot.index + 1, self.last_index))
+        self._reset(snapshot, kept)
+
+    def _reset(self, snapshot: Snapshot, entries: Sequence[Entry]) -> None:
+        self.snapshot = snapshot
+        self._start_index = snapshot.index
+        self._start_term = snapshot.term
+        self._entries.clear()
+        self._memberships.clear()
+        self.append(entries)
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -81,3 +81,21 @@
 STORAGE_FAILED = _event(
     400, "storage_failed", Level.ERROR, "A disk refused; the host stops."
 )
+LEADER_CHANGED = _event(
+    500, "leader_changed", Level.INFO, "This host follows another leader, or none."
+)
+CLUSTER_FORMED = _event(
+    501, "cluster_formed", Level.INFO, "The first hosts began a cluster."
+)
+MEMBERSHIP_CHANGED = _event(
+    502,
+    "membership_changed",
+    Level.WARNING,
+    "Other members than before take part in the agreement.",
+)
+JOIN_ASKED = _event(
+    503,
+    "join_asked",
+    Level.WARNING,
+    "This host has no agreed state and asks to be taken in.",
+)
