--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -1,6 +1,7 @@
 """An entry host: the services of one process, put together."""
 
 import json
+import random
 import signal
 import sys
 
@@ -9,6 +10,7 @@
 from . import events
 from .auth import OpenAuthenticator, load_tokens
 from .clock import SystemCalendar
+from .dispatch_policies import dispatch_scheduler
 from .dispatcher import Dispatcher, DispatcherLimits
 from .http_api import HttpApi, HttpParts
 from .http_body import BodyBudget
@@ -19,8 +21,8 @@
 from .kernel import Kernel
 from .metrics import LoopMonitor, MeasuredJobLog, Metrics
 from .presets import FixedPreset
+from .quotas import EqualQuotas
 from .router import Router, StaticDirectory
-from .scheduler import AdmitAll, FifoOrdering, LeastLoaded, Scheduler
 from .settings import HostSettings
 from .status import SystemStatus
 
@@ -53,7 +55,7 @@
             self.settings.data_centre,
             epoch,
             MeasuredJobLog(LocalJobLog(self._journal("jobs")), metrics),
-            Scheduler(LeastLoaded(), FifoOrdering(), AdmitAll()),
+            dispatch_scheduler(FixedPreset(), EqualQuotas(), random.Random()),
             SystemCalendar(),
             DispatcherLimits(endpoint_lease_s=self.settings.endpoint_lease_s),
             metrics,
