--- a/currantwell/endpoint_protocol.py
+++ b/currantwell/endpoint_protocol.py
@@ -5,12 +5,23 @@
 with `ResultStreamLine`.
 """
 
+import ipaddress
+import urllib.parse
 from typing import Any
 
 import msgspec
 
 from .codes import ResultCode
-from .ids import DataCentre, EndpointId, Epoch, Incarnation, JobId, Rack
+from .errors import InvalidRequest
+from .ids import (
+    DataCentre,
+    EndpointId,
+    Epoch,
+    Incarnation,
+    JobId,
+    Rack,
+    check_name,
+)
 
 __all__ = [
     "Adopt",
@@ -27,8 +38,14 @@
     "StartBatch",
     "StartReply",
     "StartStreamLine",
+    "check_announcement",
 ]
 
+MAX_SLOTS = 10_000
+MAX_PROCESSORS = 100_000.0
+MAX_MEMORY_MB = 2**40
+MAX_ACCELERATORS = 10_000
+
 
 class AttemptRef(msgspec.Struct, frozen=True, order=True):
     """Names one attempt at one task."""
@@ -84,6 +101,43 @@
     used_processors: float = 0.0
 
 
+def check_announcement(announcement: Announcement) -> Announcement:
+    """Check the values of an announcement.
+
+    Raises
+    ------
+    InvalidRequest
+        Naming the first field at fault.
+    """
+    check_name("endpoint", announcement.endpoint)
+    check_name("incarnation", announcement.incarnation)
+    check_name("rack", announcement.rack or "none")
+    _check_url(announcement.url)
+    for field, low, high in (
+        ("slots", 1, MAX_SLOTS),
+        ("queue", 0, MAX_SLOTS),
+        ("processors", 0, MAX_PROCESSORS),
+        ("memory_mb", 0, MAX_MEMORY_MB),
+        ("accelerators", 0, MAX_ACCELERATORS),
+        ("running", 0, 2 * MAX_SLOTS),
+        ("used_processors", 0, MAX_PROCESSORS),
+    ):
+        if not low <= getattr(announcement, field) <= high:
+            raise InvalidRequest(field, f"is not between {low} and {high}")
+    return announcement
+
+
+def _check_url(url: str) -> None:
+    try:
+        parts = urllib.parse.urlsplit(url)
+        ipaddress.ip_address(parts.hostname or "")
+        good = parts.scheme == "http" and parts.port is not None
+    except ValueError:
+        good = False
+    if not good:
+        raise InvalidRequest("url", "is not http://<IP number>:<port>")
+
+
 class AnnouncementReply(msgspec.Struct, frozen=True):
     """What the primary grants to an endpoint that announced itself.
 
@@ -147,7 +201,7 @@
     batch : int
         Counts up by one with each new batch of an epoch. An endpoint carries out a
         batch once: it answers the latest number again with the same reply, and
-        refuses older numbers.
+        ignores older numbers.
     """
 
     epoch: Epoch
@@ -222,8 +276,8 @@
     ref : AttemptRef
         The attempt.
     code : ResultCode
-        ``COMPLETE``, ``TASK_FAILED`` or a not-run code for one stopped or
-        dropped before its start.
+        ``COMPLETE``, ``TASK_FAILED``, ``TASK_STOPPED``, or a not-run code for one
+        stopped or dropped before its start.
     value : object
         JSON value of a complete task, or the reason of a failure.
     run_s : float
--- a/currantwell/http_api.py
+++ b/currantwell/http_api.py
@@ -17,7 +17,7 @@
 from .answers import Answer, Refusal, request_answer
 from .auth import Authenticator, OpenAuthenticator
 from .codes import ResultCode
-from .endpoint_protocol import Announcement
+from .endpoint_protocol import Announcement, check_announcement
 from .errors import BodyMalformed, InvalidRequest, NotAuthorized
 from .gateway import JobGateway
 from .http_body import BodyBudget, read_body
@@ -98,6 +98,7 @@
         self._gateway = gateway
         self._parts = parts or HttpParts()
         self._auth = self._parts.authenticator
+        self._endpoint_budget = BodyBudget()
         self.ready = True
 
     def app(self) -> Starlette:
@@ -177,12 +178,12 @@
         """Take in an endpoint's announcement."""
         if not self._auth.endpoint(request.headers):
             raise NotAuthorized("endpoints announce themselves with a token")
-        async with self._body(request) as body:
+        async with read_body(request, self._endpoint_budget, "endpoints") as body:
             try:
                 announcement = _announcement_decoder.decode(body)
             except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
                 raise BodyMalformed("body", str(error)) from None
-        check_name("endpoint", announcement.endpoint)
+        check_announcement(announcement)
         if announcement.data_centre != self._data_centre:
             detail = f"this host serves {self._data_centre}"
             raise InvalidRequest("data_centre", detail)
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -23,6 +23,14 @@
 SECRET = "top secret payload"
 
 
+GOOD_ENDPOINT = {
+    "endpoint": "e1",
+    "incarnation": "i",
+    "url": "http://127.0.0.1:9000",
+    "data_centre": "valdres",
+}
+
+
 class FakeGateway:
     """Keeps jobs and answers them at once."""
 
@@ -190,9 +198,7 @@
 
 async def test_operators_and_endpoints_have_routes_of_their_own():
     app, gateway, _ = build(authenticator=tokens())
-    announcement = msgspec.json.encode(
-        {"endpoint": "e1", "incarnation": "i", "url": "u", "data_centre": "valdres"}
-    )
+    announcement = msgspec.json.encode(GOOD_ENDPOINT)
     for method, path, body, right in (
         ("GET", "/v1/endpoints", b"", "k"),
         ("POST", "/v1/endpoints/e1/drain", b"", "k"),
@@ -206,6 +212,25 @@
     assert (await ask(app, "GET", "/status", headers=bearer("d"))).status == 401
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("endpoint", "a b"),
+        ("data_centre", "oslo"),
+        ("url", "http://shed.example:9000"),
+        ("url", "http://127.0.0.1"),
+        ("slots", 0),
+        ("processors", -1.0),
+        ("running", 10**9),
+    ],
+)
+async def test_a_bad_announcement_is_refused_with_its_field(field, value):
+    app, _, _ = build()
+    body = msgspec.json.encode(GOOD_ENDPOINT | {field: value})
+    reply = await ask(app, "POST", "/v1/endpoints", body)
+    assert (reply.status, reply.json()["field"]) == (400, field)
+
+
 async def test_an_unforeseen_error_shows_no_traceback_and_no_payload(caplog):
     app, gateway, _ = build()
     gateway.error = ZeroDivisionError(SECRET)
