Acknowledge results with leases too, so that an endpoint can leave

Cause: results were acknowledged only with the next batch. A draining endpoint gets no next batch, so it could not know that its last results were durable, and one that left right then could have taken the only copy along.

Ruled out: an empty batch for each result, since batches wait for replies.

Change: LeaseGrant carries acked_seq; endpoints beat often while they hold attempts; the emulator's drain waits until all results are acknowledged.

Seen to fail first: with acked_seq 0 in the grant the drain had no end.

--- a/currantwell/emulator.py
+++ b/currantwell/emulator.py
@@ -193,9 +193,9 @@
             task_status.started()
 
     async def drain(self) -> None:
-        """Return once all held attempts have ended."""
+        """Return once the results of all held attempts are acknowledged."""
         self.faults.draining = True
-        while any(not attempt.ended for attempt in self._attempts.values()):
+        while self._attempts:
             await trio.sleep(FAULT_POLL_S)
 
     # Requests of hosts.
@@ -234,6 +234,7 @@
         if isinstance(line, LeaseGrant):
             self._take_lease(line.lease_s, self._beats.pop(line.beat, None))
             self._take_wish(line.drain)
+            self._forget(line.acked_seq)
             return
         if line.batch > self._last_batch:
             self._forget(line.acked_seq)
@@ -401,7 +402,8 @@
                 await news.wait()
 
     def _beat_interval_s(self) -> float:
-        usual_s = BUSY_BEAT_INTERVAL_S if self._running else IDLE_BEAT_INTERVAL_S
+        busy = bool(self._attempts)
+        usual_s = BUSY_BEAT_INTERVAL_S if busy else IDLE_BEAT_INTERVAL_S
         return min(usual_s, self._lease_s / BEATS_A_LEASE)
 
     def _beat(self) -> Beat:
--- a/currantwell/endpoint_link.py
+++ b/currantwell/endpoint_link.py
@@ -283,7 +283,8 @@
         await self._owner.batch_answered(self.endpoint, batch, reply)
 
     def _take_beat(self, beat: Beat) -> None:
-        self._grant = self._owner.beat_arrived(self.endpoint, beat)
+        grant = self._owner.beat_arrived(self.endpoint, beat)
+        self._grant = msgspec.structs.replace(grant, acked_seq=self._acked_seq)
         self._changed.set()
 
 
--- a/currantwell/endpoint_protocol.py
+++ b/currantwell/endpoint_protocol.py
@@ -240,11 +240,14 @@
         How long after sending that beat the endpoint may go on running tasks.
     drain : bool or None
         As in `AnnouncementReply`.
+    acked_seq : int
+        As in `StartBatch`; there may be no next batch.
     """
 
     beat: int
     lease_s: float
     drain: bool | None = None
+    acked_seq: int = 0
 
 
 class Adopt(msgspec.Struct, frozen=True):
