Agree on presets, quotas, views and drains, and audit every change

Cause: hosts must never act by two different presets, an accepted change must never revert, and each change and repair must be explained later.

A preset changes in two phases over the agreed log: once the proposal is committed, each host that learns of it follows the floors; the leader commits the activation when every host has acknowledged, or when every lease that is older than the proposal has run out. A lease is the answer to "is my state current?", counted from the asking, so that a new leader needs to know nothing of the leases of earlier ones. Ruled out: grants kept by the leader (a new leader would have to know or outwait them, and a deposed one could still hand them out).

--- /dev/null
+++ b/currantwell/audit.py
@@ -0,0 +1,225 @@
+"""The audit trail: every change and repair, chained by hashes.
+
+Invariants: entries are numbered from 1 without gaps; the hash of an entry covers all
+its other fields, the hash of the entry before it among them, so that no entry can be
+altered, left out or put in without breaking the chain after it. The newest entries
+are part of the agreed state; each host keeps all that it saw in its own archive.
+"""
+
+import hashlib
+from collections.abc import Iterable, Iterator, Sequence
+
+import msgspec
+
+from .codes import ResultCode
+from .ids import ChangeId
+from .journal import Journal
+
+__all__ = [
+    "GENESIS",
+    "AuditArchive",
+    "AuditEntry",
+    "AuditQuery",
+    "AuditReport",
+    "AuditTrail",
+    "verify_chain",
+]
+
+GENESIS = "0" * 64
+WINDOW_ENTRIES = 2_000
+MAX_FOUND = 1_000
+
+
+class AuditEntry(msgspec.Struct, frozen=True):
+    """One change or repair.
+
+    Parameters
+    ----------
+    number : int
+        Counts up from 1.
+    unix_s : float
+        When, by the calendar of the host that proposed it.
+    author : str
+        The operator, or the host that repaired.
+    kind : str
+        The kind of command.
+    subject : str
+        What it was to alter.
+    before : str
+        The value before.
+    after : str
+        The value asked for.
+    reason : str
+        Why.
+    outcome : ResultCode
+        What became of it.
+    change : ChangeId
+        Id of the change; empty for a repair.
+    previous : str
+        Hash of the entry before.
+    hash : str
+        SHA-256 over all other fields.
+    """
+
+    number: int
+    unix_s: float
+    author: str
+    kind: str
+    subject: str
+    before: str
+    after: str
+    reason: str
+    outcome: ResultCode
+    change: ChangeId = ChangeId("")
+    previous: str = GENESIS
+    hash: str = ""
+
+
+class AuditQuery(msgspec.Struct, frozen=True):
+    """What to search for; None matches everything."""
+
+    author: str | None = None
+    kind: str | None = None
+    since_unix_s: float | None = None
+    until_unix_s: float | None = None
+    limit: int = 100
+
+    def matches(self, entry: AuditEntry) -> bool:
+        """Tell whether an entry fits, the limit aside."""
+        return (
+            self.author in (None, entry.author)
+            and self.kind in (None, entry.kind)
+            and (self.since_unix_s is None or entry.unix_s >= self.since_unix_s)
+            and (self.until_unix_s is None or entry.unix_s <= self.until_unix_s)
+        )
+
+    def search(self, entries: Iterable[AuditEntry]) -> list[AuditEntry]:
+        """Return the newest entries that fit, newest first."""
+        found = [entry for entry in entries if self.matches(entry)]
+        return found[: -min(self.limit, MAX_FOUND) - 1 : -1]
+
+
+class AuditReport(msgspec.Struct, frozen=True):
+    """What a verification found.
+
+    Parameters
+    ----------
+    whole : bool
+        Whether the chain is unbroken.
+    first : int
+        Number of the first entry looked at, 0 if there is none.
+    last : int
+        Number of the last entry that the unbroken chain reaches.
+    head : str
+        Its hash, to compare among hosts.
+    detail : str
+        What is wrong.
+    """
+
+    whole: bool
+    first: int
+    last: int
+    head: str
+    detail: str = ""
+
+
+def _hash_of(entry: AuditEntry) -> str:
+    data = msgspec.json.encode(msgspec.structs.replace(entry, hash=""))
+    return hashlib.sha256(data).hexdigest()
+
+
+def verify_chain(entries: Iterable[AuditEntry], head: str = "") -> AuditReport:
+    """Check numbers and hashes of entries that follow each other.
+
+    Parameters
+    ----------
+    entries : iterable of AuditEntry
+        Oldest first. If the first has number 1, it must follow `GENESIS`.
+    head : str
+        The hash that the last entry must have, if it is known.
+    """
+    first, last, previous = 0, 0, GENESIS
+    for entry in entries:
+        if not first:
+            first, last = entry.number, entry.number - 1
+            previous = GENESIS if entry.number == 1 else entry.previous
+        if entry.number != last + 1 or entry.previous != previous:
+            detail = f"entry {entry.number} does not follow entry {last}"
+            return AuditReport(False, first, last, previous, detail)
+        if _hash_of(entry) != entry.hash:
+            detail = f"entry {entry.number} was altered"
+            return AuditReport(False, first, last, previous, detail)
+        last, previous = entry.number, entry.hash
+    if head and head != previous:
+        detail = f"entry {last} is not the newest"
+        return AuditReport(False, first, last, previous, detail)
+    return AuditReport(True, first, last, previous)
+
+
+class AuditTrail:
+    """The newest entries, as part of the agreed state.
+
+    Parameters
+    ----------
+    entries : sequence of AuditEntry
+        Entries of a snapshot, oldest first.
+    """
+
+    def __init__(self, entries: Sequence[AuditEntry] = ()) -> None:
+        self.entries = list(entries)
+
+    @property
+    def head(self) -> AuditEntry | None:
+        """The newest entry."""
+        return self.entries[-1] if self.entries else None
+
+    def add(self, entry: AuditEntry) -> AuditEntry:
+        """Keep an entry under the next number, chained to the one before."""
+        head = self.head
+        entry = msgspec.structs.replace(
+            entry,
+            number=head.number + 1 if head else 1,
+            previous=head.hash if head else GENESIS,
+        )
+        entry = msgspec.structs.replace(entry, hash=_hash_of(entry))
+        self.entries.append(entry)
+        del self.entries[:-WINDOW_ENTRIES]
+        return entry
+
+    def after(self, number: int) -> list[AuditEntry]:
+        """Return the kept entries with greater numbers."""
+        return [entry for entry in self.entries if entry.number > number]
+
+
+class AuditArchive:
+    """All entries that this host saw, in an append-only journal.
+
+    Parameters
+    ----------
+    journal : Journal
+        Where they are kept.
+    """
+
+    def __init__(self, journal: Journal) -> None:
+        self._journal = journal
+        self.last = 0
+        for entry in self.read():
+            self.last = entry.number
+
+    def read(self) -> Iterator[AuditEntry]:
+        """Iterate over all entries, oldest first."""
+        decoder = msgspec.msgpack.Decoder(AuditEntry)
+        return (decoder.decode(record) for record in self._journal.read())
+
+    async def follow(self, trail: AuditTrail) -> None:
+        """Append what the trail has and the archive has not.
+
+        Raises
+        ------
+        StorageFailed
+            If the disk refuses.
+        """
+        fresh = trail.after(self.last)
+        if fresh:
+            self.last = fresh[-1].number
+            await self._journal.append([msgspec.msgpack.encode(e) for e in fresh])
--- /dev/null
+++ b/currantwell/control.py
@@ -0,0 +1,253 @@
+"""Control: what each host knows of the agreed state.
+
+Invariant: a preset is followed only while `SettingsLease` holds and nothing is
+proposed.
+"""
+
+import msgspec
+import trio
+
+from . import events
+from .agreed_state import AgreedState
+from .agreement import Agreement
+from .audit import AuditArchive
+from .changes import (
+    OperatorCommand,
+    RegisterHost,
+    Verdict,
+    check_command,
+)
+from .clock import CalendarClock, now_s
+from .codes import ResultCode
+from .errors import AgreementLost, PeerUnreachable
+from .ids import DataCentre, HostId, Team
+from .kernel import ServiceName
+from .leadership import Leadership, Renew, Renewed
+from .peers import PeerNetwork
+from .presets import FLOOR, Preset
+from .quotas import Quota
+from .settings_lease import RENEW_S, SettingsLease, preset_to_follow
+from .state_client import (
+    CONFIRM_TIMEOUT_S,
+    SharedConfirm,
+    StateClient,
+    agreement_lost_logged,
+)
+from .state_image import HostRecord
+from .views import View
+
+__all__ = ["Control"]
+
+RETRY_S = 0.1
+REGISTER_CHECK_S = 5.0
+
+
+class Control:
+    """The service that keeps this host's knowledge of the agreed state current.
+
+    It is a `PresetSource`, a `QuotaSource` and a `ViewSource`.
+
+    Parameters
+    ----------
+    host : HostId
+        This host.
+    record : HostRecord
+        What it registers of itself.
+    state : AgreedState
+        The state that the agreement changes.
+    agreement : Agreement
+        The agreement.
+    peers : PeerNetwork
+        The other hosts.
+    calendar : CalendarClock
+        Stamps commands.
+    archive : AuditArchive
+        Keeps the whole audit trail.
+    """
+
+    name = ServiceName("control")
+
+    def __init__(
+        self,
+        host: HostId,
+        record: HostRecord,
+        state: AgreedState,
+        agreement: Agreement,
+        peers: PeerNetwork,
+        calendar: CalendarClock,
+        archive: AuditArchive,
+    ) -> None:
+        self.host = host
+        self.state = state
+        self.archive = archive
+        self._record = record
+        self._agreement = agreement
+        self._peers = peers
+        self._calendar = calendar
+        self._client = StateClient(agreement, calendar)
+        self._confirm = SharedConfirm(agreement)
+        self._leadership = Leadership(host, state, self._client, self._confirm)
+        self._lease = SettingsLease()
+        self._suspects: frozenset[HostId] = frozenset()
+        self._echo = 0
+        self._changed = trio.Event()
+        self._views_changed = trio.Event()
+        self._views = dict(state.image.views)
+        state.changed = self._state_changed
+        peers.handle(Renew, self._leadership.answer)
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Renew, register, repair and archive until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._renew_loop)
+            nursery.start_soon(self._register_loop)
+            nursery.start_soon(self._leadership.run)
+            nursery.start_soon(self._archive_loop)
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Have nothing to finish."""
+
+    # What other services ask.
+
+    def preset(self) -> Preset:
+        """Return the rules to follow now; the floors if they can't be known."""
+        chosen = preset_to_follow(self.state.image, self.host, self._lease, now_s())
+        return chosen.preset if chosen else FLOOR
+
+    def quota(self, team: Team) -> Quota:
+        """Return the quota of a team."""
+        return self.state.quota(team)
+
+    def view(self, data_centre: DataCentre) -> View | None:
+        """Return the newest view that this host knows of a data centre."""
+        return self.state.image.views.get(data_centre)
+
+    def data_centres(self) -> frozenset[DataCentre]:
+        """Return every data centre there is."""
+        return frozenset(self.state.data_centres())
+
+    async def wait_change(self) -> None:
+        """Return once any view has changed."""
+        await self._views_changed.wait()
+
+    async def propose_view(self, view: View, reason: str = "copy complete") -> bool:
+        """Have a view agreed; only the one after the newest can be.
+
+        Raises
+        ------
+        AgreementLost
+            If no majority confirmed it in time; it may still take effect.
+        """
+        return await self._client.propose_view(view, self.host, reason)
+
+    @property
+    def leader(self) -> HostId | None:
+        """The host that orders commands now, None if none is known."""
+        return self._agreement.leader
+
+    def suspects(self) -> frozenset[HostId]:
+        """Return the hosts that the leader, as last heard, can't reach."""
+        return self._suspects
+
+    # What operators ask.
+
+    async def change(self, command: OperatorCommand) -> Verdict:
+        """Have an operator's change agreed.
+
+        Raises
+        ------
+        InvalidRequest
+            If the change is malformed.
+        AgreementLost
+            If no majority confirmed it in time; it may still take effect, and a
+            resend with the same id tells.
+        """
+        check_command(command)
+        stamped = msgspec.structs.replace(
+            command.change, unix_s=self._calendar.unix_s()
+        )
+        command = msgspec.structs.replace(command, change=stamped)
+        return await self._client.propose(command)
+
+    async def confirm(self) -> None:
+        """Return once this host's state holds all that was agreed before the call.
+
+        Raises
+        ------
+        AgreementLost
+            If no majority confirmed it in time.
+        """
+        await self._agreement.confirm()
+
+    async def wait_in_force(self, version: int, timeout_s: float) -> bool:
+        """Tell whether the preset of a version comes in force here in time."""
+        with trio.move_on_after(timeout_s):
+            while self.state.image.active.version < version:
+                await self._changed.wait()
+        return self.state.image.active.version >= version
+
+    def _state_changed(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+        if self._views != self.state.image.views:
+            self._views = dict(self.state.image.views)
+            self._views_changed.set()
+            self._views_changed = trio.Event()
+
+    async def _renew_loop(self) -> None:
+        while True:
+            told = self.state.proposed_version
+            renewed = await self._renew(told)
+            with trio.move_on_after(RENEW_S if renewed else RETRY_S):
+                while self.state.proposed_version == told:
+                    await self._changed.wait()
+
+    async def _renew(self, proposed: int) -> bool:
+        """Ask for a renewal; tell whether it was given."""
+        asked_s = now_s()
+        leader = self._agreement.leader
+        if leader is None:
+            return False
+        try:
+            if leader == self.host:
+                await self._confirm.confirm()
+                self._suspects = self._leadership.suspects
+                self._lease.renew(asked_s, self.state.image.index)
+                return True
+            message = Renew(proposed, self._echo)
+            reply = await self._peers.ask(leader, message, Renewed, CONFIRM_TIMEOUT_S)
+        except (AgreementLost, PeerUnreachable):
+            return False
+        self._echo = reply.number
+        if reply.current:
+            self._suspects = frozenset(reply.suspects)
+            self._lease.renew(asked_s, reply.index)
+        return reply.current
+
+    async def _register_loop(self) -> None:
+        while True:
+            if self.state.image.hosts.get(self.host) != self._record:
+                with agreement_lost_logged():
+                    await self._register()
+            registered = self.state.image.hosts.get(self.host) == self._record
+            await trio.sleep(REGISTER_CHECK_S if registered else RETRY_S)
+
+    async def _register(self) -> None:
+        command = RegisterHost(
+            self.host,
+            self._record.data_centre,
+            self._record.address,
+            self._record.disk,
+            self._record.copies,
+            self._calendar.unix_s(),
+        )
+        verdict = await self._client.propose(command)
+        if verdict.code is not ResultCode.ACCEPTED:
+            events.REGISTRATION_REFUSED.log(host=self.host, detail=verdict.detail)
+
+    async def _archive_loop(self) -> None:
+        while True:
+            changed = self._changed
+            await self.archive.follow(self.state.audit)
+            await changed.wait()
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -81,3 +81,18 @@
 STORAGE_FAILED = _event(
     400, "storage_failed", Level.ERROR, "A disk refused; the host stops."
 )
+PRESET_ACTIVATED = _event(
+    600,
+    "preset_activated",
+    Level.INFO,
+    "The proposed preset is in force; reason says why.",
+)
+VIEW_REPAIRED = _event(
+    601, "view_repaired", Level.WARNING, "A data centre passes over a lost host."
+)
+AGREEMENT_LOST = _event(
+    602, "agreement_lost", Level.WARNING, "No majority of hosts confirmed in time."
+)
+REGISTRATION_REFUSED = _event(
+    603, "registration_refused", Level.ERROR, "The hosts refuse to take this one in."
+)
--- /dev/null
+++ b/currantwell/state_client.py
@@ -0,0 +1,98 @@
+"""StateClient of commands to the agreement, and confirms shared by many callers."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import msgspec
+import trio
+
+from . import events
+from .agreement import Agreement
+from .changes import Command, ProposeView, Verdict, encode_command
+from .clock import CalendarClock
+from .codes import ResultCode
+from .errors import AgreementLost
+from .ids import HostId
+from .views import View
+
+__all__ = [
+    "CONFIRM_TIMEOUT_S",
+    "SharedConfirm",
+    "StateClient",
+    "agreement_lost_logged",
+]
+
+CONFIRM_TIMEOUT_S = 0.4
+
+
+class StateClient:
+    """Proposes commands and reads the verdicts.
+
+    Parameters
+    ----------
+    agreement : Agreement
+        The agreement.
+    calendar : CalendarClock
+        Stamps commands.
+    """
+
+    def __init__(self, agreement: Agreement, calendar: CalendarClock) -> None:
+        self.agreement = agreement
+        self.calendar = calendar
+
+    async def propose(self, command: Command) -> Verdict:
+        """Have a command agreed and return its verdict.
+
+        Raises
+        ------
+        AgreementLost
+            If no majority confirmed it in time; it may still take effect.
+        """
+        data = await self.agreement.propose(encode_command(command))
+        return msgspec.msgpack.decode(data, type=Verdict)
+
+    async def propose_view(self, view: View, author: HostId, reason: str) -> bool:
+        """Have a view agreed and tell whether it is now the newest.
+
+        Raises
+        ------
+        AgreementLost
+            If no majority confirmed it in time; it may still take effect.
+        """
+        command = ProposeView(view, author, reason, self.calendar.unix_s())
+        return (await self.propose(command)).code is ResultCode.ACCEPTED
+
+
+class SharedConfirm:
+    """Confirms for many callers at once; each joins one that starts after its call."""
+
+    def __init__(self, agreement: Agreement) -> None:
+        self._agreement = agreement
+        self._lock = trio.Lock()
+        self._started = 0
+        self._confirmed = 0
+
+    async def confirm(self) -> None:
+        """Return once the state holds all that was agreed before the call.
+
+        Raises
+        ------
+        AgreementLost
+            If no majority confirmed it in time.
+        """
+        earlier = self._started
+        async with self._lock:
+            if self._confirmed > earlier:
+                return
+            self._started += 1
+            await self._agreement.confirm(CONFIRM_TIMEOUT_S)
+            self._confirmed = self._started
+
+
+@contextmanager
+def agreement_lost_logged() -> Iterator[None]:
+    """Log that an agreement was lost, for whoever tries again later."""
+    try:
+        yield
+    except AgreementLost as error:
+        events.AGREEMENT_LOST.log(detail=str(error))
--- /dev/null
+++ b/currantwell/view_rules.py
@@ -0,0 +1,68 @@
+"""Rules for the next view of a data centre; only its members hold what was committed.
+
+A host joins a view as backup only, and only once it holds all that was committed.
+"""
+
+from collections.abc import Collection, Sequence
+
+from .ids import DataCentre, Epoch, HostId
+from .views import View
+
+__all__ = ["first_view", "may_follow", "repair", "without"]
+
+
+def may_follow(newest: View | None, view: View, hosts: Collection[HostId]) -> bool:
+    """Tell whether a view may come after the newest one.
+
+    Parameters
+    ----------
+    newest : View or None
+        The newest view of the data centre, None if there is none.
+    view : View
+        The view proposed.
+    hosts : collection of HostId
+        All hosts of the data centre.
+    """
+    members = [view.primary] if view.backup is None else [view.primary, view.backup]
+    if len(set(members)) < len(members) or not set(members) <= set(hosts):
+        return False
+    if newest is None:
+        return view.number == 1
+    follows = view.number == newest.number + 1
+    return follows and view.primary in (newest.primary, newest.backup)
+
+
+def without(view: View, lost: HostId) -> View | None:
+    """Return the next view without a host, None if no member would be left."""
+    number = Epoch(view.number + 1)
+    if view.primary == lost:
+        if view.backup is None:
+            return None
+        return View(view.data_centre, number, view.backup)
+    return View(view.data_centre, number, view.primary)
+
+
+def repair(view: View, suspects: Collection[HostId]) -> tuple[View, str] | None:
+    """Return the view that passes over a lost member, and why; None if none can.
+
+    With both members lost there is none: another host would not hold the jobs.
+    """
+    if view.primary in suspects and view.backup in suspects:
+        return None
+    for lost, role in ((view.primary, "primary"), (view.backup, "backup")):
+        if lost is not None and lost in suspects:
+            fresh = without(view, lost)
+            reason = f"{role} {lost} does not answer"
+            return None if fresh is None else (fresh, reason)
+    return None
+
+
+def first_view(
+    data_centre: DataCentre, hosts: Sequence[HostId], copies: int
+) -> View | None:
+    """Return the first view over empty hosts, None if there are too few."""
+    chosen = sorted(hosts)[: min(copies, 2)]
+    if not chosen or len(chosen) < min(copies, 2):
+        return None
+    backup = chosen[1] if len(chosen) > 1 else None
+    return View(data_centre, Epoch(1), chosen[0], backup)
--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,79 @@
+import msgspec
+import pytest
+
+from currantwell import audit
+from currantwell.audit import (
+    AuditArchive,
+    AuditEntry,
+    AuditQuery,
+    AuditTrail,
+    verify_chain,
+)
+from currantwell.codes import ResultCode
+from currantwell.journal import DiskJournal, MemoryJournal
+
+
+def entry(author="ada", kind="set_preset", unix_s=1.0):
+    accepted = ResultCode.ACCEPTED
+    return AuditEntry(0, unix_s, author, kind, "peak", "a", "b", "dawn", accepted)
+
+
+def trail(count=5):
+    made = AuditTrail()
+    for number in range(count):
+        made.add(entry(author="ada" if number % 2 else "bo", unix_s=float(number)))
+    return made
+
+
+def test_a_whole_chain_is_verified():
+    made = trail()
+    report = verify_chain(made.entries, made.head.hash)
+    assert (report.whole, report.first, report.last) == (True, 1, 5)
+
+
+@pytest.mark.parametrize("field", ["author", "reason", "before", "unix_s", "hash"])
+def test_an_altered_entry_breaks_the_chain(field):
+    entries = trail().entries
+    value = 7.0 if field == "unix_s" else "x"
+    entries[2] = msgspec.structs.replace(entries[2], **{field: value})
+    report = verify_chain(entries)
+    assert (report.whole, report.last) == (False, 2)
+
+
+def test_a_left_out_or_cut_off_entry_breaks_the_chain():
+    made = trail()
+    left_out = made.entries[:2] + made.entries[3:]
+    assert not verify_chain(left_out).whole
+    assert not verify_chain(made.entries[:-1], made.head.hash).whole
+
+
+def test_a_forged_past_does_not_fit_the_entries_after_it():
+    made, forged = trail(), AuditTrail()
+    for _ in range(3):
+        forged.add(entry(author="cy"))
+    report = verify_chain(forged.entries + made.entries[3:])
+    assert (report.whole, report.last) == (False, 3)
+
+
+def test_a_search_gives_the_newest_first():
+    entries = trail().entries
+    found = AuditQuery(author="bo", since_unix_s=1.0, limit=1).search(entries)
+    assert [e.number for e in found] == [5]
+    assert AuditQuery(kind="view").search(entries) == []
+    assert len(AuditQuery(until_unix_s=2.0).search(entries)) == 3
+
+
+@pytest.mark.parametrize("durable", [False, True])
+async def test_the_archive_outlives_the_window_and_a_restart(
+    durable, monkeypatch, tmp_path
+):
+    monkeypatch.setattr(audit, "WINDOW_ENTRIES", 3)
+    journal = DiskJournal(tmp_path / "audit") if durable else MemoryJournal()
+    made, archive = AuditTrail(), AuditArchive(journal)
+    for _ in range(8):
+        made.add(entry())
+        await archive.follow(made)
+    assert len(made.entries) == 3
+    reopened = AuditArchive(DiskJournal(tmp_path / "audit") if durable else journal)
+    await reopened.follow(made)
+    assert verify_chain(reopened.read(), made.head.hash).last == 8
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,141 @@
+"""Control over a fake agreement and network, under cuts and lost leaders."""
+
+import pytest
+import trio
+import trio.testing
+
+from currantwell.changes import DrainEndpoint, SetQuota
+from currantwell.codes import ResultCode
+from currantwell.errors import AgreementLost
+from currantwell.quotas import Quota
+from currantwell.views import View
+from tests.builders import FakeCluster, change, set_preset
+
+NAMES = ("h-1", "h-2", "h-3")
+IN_FORCE_S = 3.0
+DETECTED_S = 2.0
+
+
+@pytest.fixture
+async def cluster(nursery, autojump_clock):
+    made = FakeCluster(NAMES, copies=2)
+    await nursery.start(made.run)
+    await until(lambda: set(made.presets().values()) == {"ordinary"}, 2.0)
+    nursery.start_soon(watch, made)
+    return made
+
+
+async def watch(cluster):
+    while True:
+        acted = set(cluster.presets().values()) - {"floor"}
+        assert len(acted) <= 1, cluster.presets()
+        await trio.sleep(0.02)
+
+
+async def until(condition, timeout_s):
+    with trio.fail_after(timeout_s):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+def all_act_by(cluster, name, *hosts):
+    return lambda: all(cluster.presets()[host] == name for host in hosts or NAMES)
+
+
+async def test_a_change_is_in_force_on_all_hosts_at_once(cluster, autojump_clock):
+    verdict = await cluster.nodes["h-2"].control.change(set_preset("peak"))
+    assert verdict.code is ResultCode.ACCEPTED
+    await until(all_act_by(cluster, "peak"), 0.5)
+    assert await cluster.nodes["h-3"].control.wait_in_force(verdict.version, 0.0)
+
+
+async def test_a_host_cut_off_silently_delays_a_change_within_bounds(
+    cluster, autojump_clock
+):
+    cluster.cut = {"h-3"}
+    await cluster.nodes["h-1"].control.change(set_preset("peak"))
+    assert cluster.presets()["h-3"] == "ordinary"
+    await until(all_act_by(cluster, "peak", "h-1", "h-2"), IN_FORCE_S)
+    assert cluster.presets()["h-3"] == "floor"
+    await trio.sleep(60)
+    assert cluster.presets()["h-3"] == "floor"
+    cluster.cut = set()
+    await until(all_act_by(cluster, "peak"), IN_FORCE_S)
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.004, 0.3, 1.4, 1.6])
+async def test_a_new_leader_finishes_a_change(cluster, autojump_clock, after_s):
+    cluster.cut = {"h-3"}
+    await cluster.nodes["h-2"].control.change(set_preset("peak"))
+    await trio.sleep(after_s)
+    cluster.leader, cluster.cut = "h-2", {"h-1"}
+    await until(all_act_by(cluster, "peak", "h-2", "h-3"), IN_FORCE_S)
+    assert cluster.nodes["h-2"].state.image.proposed is None
+
+
+async def test_a_lost_host_is_passed_over_and_the_ground_is_kept(
+    cluster, autojump_clock
+):
+    control = cluster.nodes["h-3"].control
+    await until(lambda: control.view("valdres") is not None, 1.0)
+    assert control.view("valdres") == View("valdres", 1, "h-1", "h-2")
+    cluster.leader, cluster.cut = "h-3", {"h-1"}
+    await until(lambda: control.view("valdres").primary == "h-2", DETECTED_S)
+    assert control.view("valdres") == View("valdres", 2, "h-2")
+    assert "h-1 does not answer" in control.state.audit.head.reason
+    await until(lambda: control.suspects() == {"h-1"}, 1.0)
+
+
+async def test_a_view_with_a_backup_is_proposed_and_others_hear_of_it(
+    cluster, autojump_clock
+):
+    await trio.sleep(0.5)
+    control = cluster.nodes["h-2"].control
+    with trio.fail_after(1.0):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(cluster.nodes["h-1"].control.wait_change)
+            await trio.testing.wait_all_tasks_blocked()
+            assert await control.propose_view(View("valdres", 2, "h-1", "h-3"))
+    assert not await control.propose_view(View("valdres", 2, "h-1", "h-2"))
+
+
+async def test_a_resend_through_another_host_tells_the_first_verdict(
+    cluster, autojump_clock
+):
+    cluster.cut = {"h-2"}
+    with pytest.raises(AgreementLost):
+        await cluster.nodes["h-2"].control.change(set_preset("peak"))
+    first = await cluster.nodes["h-3"].control.change(set_preset("peak"))
+    again = await cluster.nodes["h-1"].control.change(set_preset("peak"))
+    assert first == again
+
+
+async def test_quotas_reach_every_host_and_the_archive(cluster, autojump_clock):
+    control = cluster.nodes["h-1"].control
+    await control.change(SetQuota(change(1, "q-1"), "crew", Quota(3.0, 7)))
+    await control.change(DrainEndpoint(change(1, "d-1"), "e-1"))
+    await trio.sleep(0.1)
+    for node in cluster.nodes.values():
+        assert node.control.quota("crew") == Quota(3.0, 7)
+        assert "e-1" in node.state.image.drained
+        assert node.control.archive.last == node.state.audit.head.number
+
+
+async def test_a_host_alone_serves_its_data_centre(nursery, autojump_clock):
+    cluster = FakeCluster(["h-1"])
+    await nursery.start(cluster.run)
+    control = cluster.nodes["h-1"].control
+    await until(lambda: control.view("valdres") is not None, 1.0)
+    assert control.view("valdres") == View("valdres", 1, "h-1")
+    await control.change(set_preset("peak"))
+    await until(all_act_by(cluster, "peak", "h-1"), 0.5)
+
+
+async def test_a_second_host_that_never_comes_is_not_waited_for(
+    nursery, autojump_clock
+):
+    cluster = FakeCluster(["h-1"], copies=2)
+    await nursery.start(cluster.run)
+    control = cluster.nodes["h-1"].control
+    await until(lambda: control.view("valdres") is not None, 3.0)
+    assert control.view("valdres") == View("valdres", 1, "h-1")
--- /dev/null
+++ b/tests/test_failure_detector.py
@@ -0,0 +1,55 @@
+import pytest
+
+from currantwell.failure_detector import FailureDetector
+
+
+class Pair:
+    """A watched host that renews every half second while it can."""
+
+    def __init__(self):
+        self.detector = FailureDetector()
+        self.detector.watch(["h-2"], 0.0)
+        self.now_s = 0.0
+        self.echo = 0
+
+    def go(self, seconds, sends=True, receives=True, runs=True):
+        for _ in range(round(seconds * 10)):
+            self.now_s = round(self.now_s + 0.1, 3)
+            if runs:
+                self.detector.tick(self.now_s)
+            if runs and sends and round(self.now_s * 10) % 5 == 0:
+                number = self.detector.hear("h-2", self.echo, self.now_s)
+                self.echo = number if receives else self.echo
+        return self.detector.suspects(self.now_s)
+
+
+def test_a_host_that_answers_is_not_suspected():
+    assert Pair().go(60) == set()
+
+
+@pytest.mark.parametrize(
+    ("fault", "within_s"),
+    [({"sends": False}, 1.7), ({"receives": False}, 3.2)],
+    ids=["silent", "replies do not reach it"],
+)
+def test_a_lost_host_is_suspected_and_taken_back(fault, within_s):
+    pair = Pair()
+    pair.go(5)
+    assert pair.go(1.0, **fault) == set()
+    assert pair.go(within_s - 1.0, **fault) == {"h-2"}
+    assert pair.go(1.1) == set()
+
+
+def test_a_freeze_of_the_watcher_is_charged_to_no_one():
+    pair = Pair()
+    pair.go(5)
+    pair.go(30, runs=False)
+    assert pair.go(0.1, sends=False) == set()
+    assert pair.go(1.6, sends=False) == {"h-2"}
+
+
+def test_a_host_that_is_not_watched_any_more_is_forgotten():
+    pair = Pair()
+    pair.go(2, sends=False)
+    pair.detector.watch([], pair.now_s)
+    assert pair.detector.suspects(pair.now_s) == set()
