--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -12,7 +12,7 @@
 import trio
 
 from . import events
-from .answers import Answer, Refusal, TaskState
+from .answers import Answer, Refusal, TaskState, TaskStatus
 from .clock import CalendarClock, now_s
 from .codes import ResultCode
 from .endpoint_link import EndpointLink
@@ -22,16 +22,18 @@
     AttemptRef,
     Beat,
     Held,
+    LeaseGrant,
     ResultLine,
     Start,
     StartBatch,
     StartReply,
 )
 from .errors import Deposed
-from .ids import DataCentre, EndpointId, Epoch, Incarnation, JobId, job_id
+from .ids import DataCentre, EndpointId, Epoch, Incarnation, JobId, Operator, job_id
 from .job_log import JobLog
 from .jobs import Job, JobTable, Task
 from .kernel import ServiceName
+from .metrics import HostLoad, Metrics, Timing
 from .records import (
     AttemptEnded,
     AttemptStarted,
@@ -102,6 +104,8 @@
         For deadlines that outlast the process.
     limits : DispatcherLimits
         Limits.
+    metrics : Metrics or None
+        Where times go.
     """
 
     name = ServiceName("dispatcher")
@@ -114,6 +118,7 @@
         scheduler: Scheduler,
         calendar: CalendarClock,
         limits: DispatcherLimits | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self.data_centre = data_centre
         self.epoch = epoch
@@ -124,6 +129,8 @@
         self._scheduler = scheduler
         self._calendar = calendar
         self._limits = limits or DispatcherLimits()
+        self._metrics = metrics or Metrics()
+        self._drains: dict[EndpointId, bool] = {}
         self._known: dict[EndpointId, _Known] = {}
         self._outbox: list[_Entry] = []
         self._placed: list[PlacedTask] = []
@@ -191,6 +198,14 @@
         await self._cancel(job, ResultCode.JOB_CANCELLED)
         return self._answer(job)
 
+    async def tasks(self, job: JobId) -> tuple[TaskStatus, ...] | Refusal:
+        """Return where each task of a job stands, once that is durable."""
+        if job not in self.table.jobs:
+            return Refusal(ResultCode.JOB_NOT_FOUND, "no such job", "key")
+        statuses = self.table.jobs[job].statuses()
+        await self._put([]).wait()
+        return statuses
+
     async def explain(self, job: JobId) -> list[str] | Refusal:
         """Say why the tasks of a job stand where they stand."""
         if job not in self.table.jobs:
@@ -201,6 +216,41 @@
         """Return what all known endpoints last said of themselves."""
         return [known.announcement for known in self._known.values()]
 
+    async def drain_endpoint(
+        self, endpoint: EndpointId, draining: bool, operator: Operator
+    ) -> Refusal | None:
+        """Have an endpoint get no new starts, or get them again.
+
+        The endpoint is told with its next lease and keeps it from then on.
+        """
+        known = self._known.get(endpoint)
+        if known is None:
+            return Refusal(ResultCode.NOT_FOUND, "no such endpoint", "endpoint")
+        self._drains[endpoint] = draining
+        self._take_in(known, known.announcement)
+        events.ENDPOINT_DRAINED.log(
+            endpoint=endpoint, draining=draining, operator=operator
+        )
+        return None
+
+    def load(self) -> HostLoad:
+        """Return what there is to do now."""
+        said = [known.announcement for known in self._known.values()]
+        states = [
+            task.state
+            for job in self.table.jobs.values()
+            if job.code is None
+            for task in job.tasks
+        ]
+        return HostLoad(
+            self.starts_sent,
+            self.starts_refused,
+            len(said),
+            sum(announcement.slots for announcement in said),
+            states.count(TaskState.STARTED),
+            states.count(TaskState.WAITING),
+        )
+
     async def announce(self, announcement: Announcement) -> AnnouncementReply | Refusal:
         """Take in an endpoint's announcement and grant it a lease."""
         process = (announcement.endpoint, announcement.incarnation)
@@ -212,11 +262,21 @@
             known = None
         if known is None:
             known = self._meet(announcement)
-        known.announcement = announcement
         known.heard_s = now_s()
-        self._scheduler.endpoint_announced(announcement, now_s())
+        drain = self._take_in(known, announcement)
         self._wake.set()
-        return AnnouncementReply(self._limits.endpoint_lease_s, self.epoch)
+        return AnnouncementReply(self._limits.endpoint_lease_s, self.epoch, drain)
+
+    def _take_in(self, known: _Known, said: Announcement) -> bool | None:
+        """Take in what an endpoint says of itself; return an operator's wish."""
+        wish = self._drains.get(said.endpoint)
+        if wish:
+            said = msgspec.structs.replace(said, draining=True)
+        elif wish is False and not said.draining:
+            wish = self._drains.pop(said.endpoint)
+        known.announcement = said
+        self._scheduler.endpoint_announced(said, now_s())
+        return wish
 
     # What links tell.
 
@@ -250,20 +310,20 @@
         if ended:
             await self._end(ended, {})
 
-    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> float:
-        """Take in a sign of life and return the lease granted, in seconds."""
+    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> LeaseGrant:
+        """Take in a sign of life and return the lease granted."""
         known = self._known.get(endpoint)
         if known is None or known.announcement.incarnation != beat.incarnation:
-            return LEASE_REFUSED_S
+            return LeaseGrant(beat.beat, LEASE_REFUSED_S)
         known.heard_s = now_s()
-        known.announcement = msgspec.structs.replace(
+        said = msgspec.structs.replace(
             known.announcement,
             running=beat.running,
             draining=beat.draining,
             used_processors=beat.used_processors,
         )
-        self._scheduler.endpoint_announced(known.announcement, now_s())
-        return self._limits.endpoint_lease_s
+        drain = self._take_in(known, said)
+        return LeaseGrant(beat.beat, self._limits.endpoint_lease_s, drain)
 
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
         """Note whether an endpoint answers."""
@@ -340,6 +400,10 @@
 
     async def _show_answer(self, job: JobId, committed: trio.Event) -> None:
         await committed.wait()
+        accepted_unix_s = self.table.jobs[job].accepted_unix_s
+        self._metrics.observe(
+            Timing.JOB_RESPONSE, self._calendar.unix_s() - accepted_unix_s
+        )
         self._answered[job].set()
 
     # Attempts.
@@ -460,6 +524,8 @@
             await self._wake.wait()
             self._wake = trio.Event()
             placed = self._scheduler.plan(now_s())
+            for item in placed:
+                self._metrics.observe(Timing.QUEUE_WAIT, now_s() - item.task.since_s)
             if placed:
                 self._put([self._intent(item) for item in placed])
             entries, self._outbox = self._outbox, []
--- a/currantwell/emulator.py
+++ b/currantwell/emulator.py
@@ -114,6 +114,7 @@
     accelerators: int = 0
     seed: int = 0
     public_url: str | None = None
+    token: str | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -186,7 +187,8 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             for url in self._settings.entry_urls:
-                nursery.start_soon(self._announce_loop, HttpClient(url))
+                client = HttpClient(url, token=self._settings.token)
+                nursery.start_soon(self._announce_loop, client)
             nursery.start_soon(self._lease_loop)
             task_status.started()
 
@@ -231,6 +233,7 @@
     def _take_line(self, line: StartStreamLine) -> None:
         if isinstance(line, LeaseGrant):
             self._take_lease(line.lease_s, self._beats.pop(line.beat, None))
+            self._take_wish(line.drain)
             return
         if line.batch > self._last_batch:
             self._forget(line.acked_seq)
@@ -435,6 +438,7 @@
         granted = msgspec.json.decode(reply.body, type=AnnouncementReply)
         if granted.epoch >= self._epoch:
             self._extend_lease(granted.lease_s, sent_s)
+            self._take_wish(granted.drain)
 
     def _announcement(self) -> Announcement:
         own = self._settings
@@ -466,6 +470,10 @@
         end_s = sent_s + lease_s
         self._lease_end_s = max(end_s, self._lease_end_s or end_s)
 
+    def _take_wish(self, drain: bool | None) -> None:
+        if drain is not None:
+            self.faults.draining = drain
+
     async def _lease_loop(self) -> None:
         while True:
             await trio.sleep(LEASE_CHECK_S)
--- a/currantwell/endpoint_link.py
+++ b/currantwell/endpoint_link.py
@@ -69,8 +69,8 @@
         """Take in what an adopted endpoint holds."""
         ...
 
-    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> float:
-        """Take in a sign of life and return the lease granted, in seconds."""
+    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> LeaseGrant:
+        """Take in a sign of life and return the lease granted."""
         ...
 
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
@@ -283,8 +283,7 @@
         await self._owner.batch_answered(self.endpoint, batch, reply)
 
     def _take_beat(self, beat: Beat) -> None:
-        lease_s = self._owner.beat_arrived(self.endpoint, beat)
-        self._grant = LeaseGrant(beat.beat, lease_s)
+        self._grant = self._owner.beat_arrived(self.endpoint, beat)
         self._changed.set()
 
 
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -99,3 +99,12 @@
     Level.WARNING,
     "This host has no agreed state and asks to be taken in.",
 )
+REQUEST_FAILED = _event(
+    900, "request_failed", Level.ERROR, "A request met an unforeseen error."
+)
+ENDPOINT_DRAINED = _event(
+    901,
+    "endpoint_drained",
+    Level.INFO,
+    "An operator had an endpoint drained, or put back to use.",
+)
