--- a/currantwell/cli/__init__.py
+++ b/currantwell/cli/__init__.py
@@ -3,10 +3,15 @@
 import click
 
 from .. import __version__
+from .bench import bench
 from .demo import demo
 from .endpoint import endpoint
 from .host import host
 from .job import job
+from .load import load
+from .settings import settings
+from .status import status
+from .token import token
 
 __all__ = ["main"]
 
@@ -17,5 +22,15 @@
     """Dispatch sub-second tasks."""
 
 
-for _command in (demo, endpoint, host, job):
+for _command in (
+    bench,
+    demo,
+    endpoint,
+    host,
+    job,
+    load,
+    settings,
+    status,
+    token,
+):
     main.add_command(_command)
