--- a/currantwell/consensus.py
+++ b/currantwell/consensus.py
@@ -14,7 +14,7 @@
 import enum
 from collections.abc import Sequence
 
-from .consensus_leader import Leadership, Timing
+from .consensus_leader import Leadership, Progress, Timing
 from .consensus_log import Log
 from .consensus_messages import (
     MAX_VOTERS,
@@ -420,12 +420,14 @@
         leadership = self._leadership
         assert leadership is not None
         for member in self.membership.joining:
-            progress = leadership.peers[member]
-            silent = self._now_s - progress.heard_s >= self._timing.election_s
-            if progress.match >= self.commit and not silent:
+            if self._holds_everything(leadership.peers[member]):
                 self._change_membership(self.membership.with_promoted(member))
                 return
 
+    def _holds_everything(self, progress: Progress) -> bool:
+        silence_s = self._now_s - progress.heard_s
+        return progress.match >= self.commit and silence_s < self._timing.election_s
+
     def _append_answered(self, sender: MemberId, reply: AppendReply) -> None:
         if reply.term > self.term:
             self._become_follower(reply.term, None)
