--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -99,6 +99,21 @@
     Level.WARNING,
     "This host has no agreed state and asks to be taken in.",
 )
+PRESET_ACTIVATED = _event(
+    600,
+    "preset_activated",
+    Level.INFO,
+    "The proposed preset is in force; reason says why.",
+)
+VIEW_REPAIRED = _event(
+    601, "view_repaired", Level.WARNING, "A data centre passes over a lost host."
+)
+AGREEMENT_LOST = _event(
+    602, "agreement_lost", Level.WARNING, "No majority of hosts confirmed in time."
+)
+REGISTRATION_REFUSED = _event(
+    603, "registration_refused", Level.ERROR, "The hosts refuse to take this one in."
+)
 REQUEST_FAILED = _event(
     900, "request_failed", Level.ERROR, "A request met an unforeseen error."
 )
