--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format check tables
+.PHONY: setup demo test lint format check tables binary binary-check
 
 setup: $(VENV)/.installed
 
@@ -30,3 +30,10 @@
 
 tables: setup
 	$(BIN)/python tools/write_tables.py
+
+binary: setup
+	$(BIN)/shiv --quiet --console-script currantwell --reproducible \
+	    --python "/usr/bin/env python3.11" --output-file dist/currantwell .
+
+binary-check: binary
+	$(BIN)/pytest -m binary tests/test_one_process.py
