--- a/currantwell/cli/__init__.py
+++ b/currantwell/cli/__init__.py
@@ -9,6 +9,7 @@
 from .host import host
 from .job import job
 from .load import load
+from .reference import reference
 from .settings import settings
 from .status import status
 from .token import token
@@ -29,6 +30,7 @@
     host,
     job,
     load,
+    reference,
     settings,
     status,
     token,
