--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -108,3 +108,9 @@
     Level.INFO,
     "An operator had an endpoint drained, or put back to use.",
 )
+JOURNAL_TAIL_CUT = _event(
+    510,
+    "journal_tail_cut",
+    Level.INFO,
+    "A crash had cut a write short that no one was told of; its rest is removed.",
+)
--- /dev/null
+++ b/currantwell/journal_format.py
@@ -0,0 +1,161 @@
+"""The bytes of a journal's file, and what is made of them after a crash.
+
+The file begins with a salt. What one call wrote is one frame: a header with its own
+CRC-32, which the salt enters, and the records behind it with another. A frame is
+written only after the one before it was synced, so that a bad frame with anything
+after it is damage. A bad frame at the end is the torn tail of a write that no one
+was told of only if it looks like one: bytes are missing at its end, or a sector of
+it was never written and reads as zeros. Otherwise it is damage as well.
+"""
+
+import struct
+import zlib
+from collections.abc import Iterator, Sequence
+
+__all__ = ["FILE_HEADER_BYTES", "DamagedAt", "file_header", "frame", "parse"]
+
+SALT_BYTES = 8
+SECTOR_BYTES = 512
+_FILE_MAGIC = b"CWJ1"
+_FRAME_MAGIC = b"\xc7\x0d\xf5\xa3"
+_FILE_HEADER = struct.Struct(f"<4s{SALT_BYTES}sI")
+_FRAME_HEADER = struct.Struct("<4sIII")
+_LENGTH = struct.Struct("<I")
+FILE_HEADER_BYTES = _FILE_HEADER.size
+
+
+class DamagedAt(Exception):
+    """A bad frame that is no torn tail.
+
+    Parameters
+    ----------
+    position : int
+        Where it begins.
+    """
+
+    def __init__(self, position: int) -> None:
+        super().__init__(f"bad frame at byte {position}")
+        self.position = position
+
+
+def file_header(salt: bytes) -> bytes:
+    """Return the beginning of a file with a salt of 8 bytes."""
+    return _FILE_HEADER.pack(_FILE_MAGIC, salt, zlib.crc32(salt))
+
+
+def frame(records: Sequence[bytes], salt: bytes) -> bytes:
+    """Return one frame with records."""
+    payload = b"".join(_LENGTH.pack(len(record)) + record for record in records)
+    checksum = zlib.crc32(payload)
+    return (
+        _FRAME_HEADER.pack(
+            _FRAME_MAGIC,
+            len(payload),
+            checksum,
+            _header_checksum(len(payload), checksum, salt),
+        )
+        + payload
+    )
+
+
+def parse(data: bytes) -> tuple[bytes, list[bytes], int]:
+    """Read a file.
+
+    Parameters
+    ----------
+    data : bytes
+        The whole file.
+
+    Returns
+    -------
+    salt : bytes
+        The file's salt.
+    records : list of bytes
+        All whole records.
+    length : int
+        Where a torn tail begins; the length of the file if there is none.
+
+    Raises
+    ------
+    DamagedAt
+        If anything else is wrong.
+    """
+    salt = _salt(data)
+    records: list[bytes] = []
+    position = FILE_HEADER_BYTES
+    while position < len(data):
+        end = _end_of_frame(data, position, salt)
+        if end is None or not _is_whole(data, position, end):
+            if not _is_torn(data, position, end, salt):
+                raise DamagedAt(position)
+            break
+        records.extend(_records(data, position, end))
+        position = end
+    return salt, records, position
+
+
+def _salt(data: bytes) -> bytes:
+    if len(data) < FILE_HEADER_BYTES:
+        raise DamagedAt(0)
+    magic, salt, checksum = _FILE_HEADER.unpack_from(data)
+    if magic != _FILE_MAGIC or zlib.crc32(salt) != checksum:
+        raise DamagedAt(0)
+    return bytes(salt)
+
+
+def _header_checksum(length: int, checksum: int, salt: bytes) -> int:
+    return zlib.crc32(struct.pack("<II", length, checksum) + salt)
+
+
+def _end_of_frame(data: bytes, position: int, salt: bytes) -> int | None:
+    """Return where a frame ends by its header, None if that is bad."""
+    if position + _FRAME_HEADER.size > len(data):
+        return None
+    magic, length, checksum, header = _FRAME_HEADER.unpack_from(data, position)
+    if magic != _FRAME_MAGIC or _header_checksum(length, checksum, salt) != header:
+        return None
+    return position + _FRAME_HEADER.size + int(length)
+
+
+def _is_whole(data: bytes, position: int, end: int) -> bool:
+    _, _, checksum, _ = _FRAME_HEADER.unpack_from(data, position)
+    payload = memoryview(data)[position + _FRAME_HEADER.size : end]
+    return end <= len(data) and zlib.crc32(payload) == checksum
+
+
+def _is_torn(data: bytes, position: int, end: int | None, salt: bytes) -> bool:
+    if end is not None and end != len(data):
+        return end > len(data)
+    if end is None and len(data) - position < _FRAME_HEADER.size:
+        return True
+    if end is None and _has_frame_after(data, position, salt):
+        return False
+    return _has_unwritten_sector(data, position)
+
+
+def _has_frame_after(data: bytes, position: int, salt: bytes) -> bool:
+    found = data.find(_FRAME_MAGIC, position + 1)
+    while found >= 0:
+        if _end_of_frame(data, found, salt) is not None:
+            return True
+        found = data.find(_FRAME_MAGIC, found + 1)
+    return False
+
+
+def _has_unwritten_sector(data: bytes, position: int) -> bool:
+    first = position
+    while first < len(data):
+        last = min(len(data), first - first % SECTOR_BYTES + SECTOR_BYTES)
+        if not any(data[first:last]):
+            return True
+        first = last
+    return False
+
+
+def _records(data: bytes, position: int, end: int) -> Iterator[bytes]:
+    position += _FRAME_HEADER.size
+    while position < end:
+        (length,) = _LENGTH.unpack_from(data, position)
+        position += _LENGTH.size
+        yield data[position : position + length]
+        position += length
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,217 @@
+"""Journals under crashes, damage and disks that refuse."""
+
+import errno
+import threading
+
+import pytest
+import trio
+import trio.testing
+
+from currantwell.errors import JournalDamaged, StorageFailed
+from currantwell.journal import DiskJournal, MemoryJournal, SystemDisk
+from currantwell.journal_format import FILE_HEADER_BYTES
+
+RECORDS = [b"one", b"", b"three" * 300]
+
+
+class FailingDisk(SystemDisk):
+    """Refuses the n-th call of one of its methods, and only that one."""
+
+    def __init__(self, method, count, number=errno.EIO, partly=0):
+        self._method, self._left = method, count
+        self._number, self._partly = number, partly
+
+    def _check(self, method):
+        if method == self._method:
+            self._left -= 1
+            if self._left == 0:
+                raise OSError(self._number, "refused")
+
+    def write(self, fd, data):
+        try:
+            self._check("write")
+        except OSError:
+            super().write(fd, data[: self._partly])
+            raise
+        return super().write(fd, data)
+
+    def sync(self, fd):
+        self._check("sync")
+        super().sync(fd)
+
+
+class WaitingDisk(SystemDisk):
+    """Syncs only while it may."""
+
+    def __init__(self):
+        self.may_sync = threading.Event()
+        self.may_sync.set()
+
+    def sync(self, fd):
+        self.may_sync.wait(10)
+        super().sync(fd)
+
+
+@pytest.fixture
+def path(tmp_path):
+    return tmp_path / "a.journal"
+
+
+@pytest.fixture(params=["memory", "disk"])
+def journal(request, path):
+    return MemoryJournal() if request.param == "memory" else DiskJournal(path)
+
+
+async def written(path, count=3):
+    """Write some frames; return where each ends."""
+    journal = DiskJournal(path)
+    ends = []
+    for number in range(count):
+        await journal.append([b"%d" % number, RECORDS[2]])
+        ends.append(path.stat().st_size)
+    journal.close()
+    return ends
+
+
+def flip(path, place):
+    data = bytearray(path.read_bytes())
+    data[place] ^= 0x40
+    path.write_bytes(data)
+
+
+async def test_records_are_read_in_order(journal):
+    await journal.append(RECORDS)
+    await journal.append([b"four"])
+    assert list(journal.read()) == [*RECORDS, b"four"]
+
+
+async def test_replace_leaves_only_the_new_records(journal):
+    await journal.append(RECORDS)
+    journal.replace([b"new"])
+    await journal.append([b"more"])
+    assert list(journal.read()) == [b"new", b"more"]
+
+
+async def test_a_record_that_is_too_large_is_refused(journal, monkeypatch):
+    monkeypatch.setattr("currantwell.journal.MAX_RECORD_BYTES", 10)
+    with pytest.raises(StorageFailed):
+        await journal.append([b"x" * 11])
+    await journal.append([b"fits"])
+    assert list(journal.read()) == [b"fits"]
+
+
+async def test_appends_at_the_same_time_do_not_mix(journal):
+    async with trio.open_nursery() as nursery:
+        for number in range(20):
+            nursery.start_soon(journal.append, [b"%d" % number] * 2)
+    records = list(journal.read())
+    assert records[::2] == records[1::2]
+    assert len(set(records)) == 20
+
+
+async def test_records_outlast_the_object(path):
+    await written(path)
+    assert [r for r in DiskJournal(path).read()][::2] == [b"0", b"1", b"2"]
+
+
+async def test_a_tail_torn_at_any_byte_is_cut(path):
+    ends = await written(path)
+    data = path.read_bytes()
+    for length in range(ends[1], ends[2]):
+        path.write_bytes(data[:length])
+        journal = DiskJournal(path)
+        assert list(journal.read())[::2] == [b"0", b"1"]
+        journal.close()
+        assert path.stat().st_size == ends[1]
+
+
+@pytest.mark.parametrize("first", ["header", "payload"])
+async def test_sectors_that_were_never_written_are_a_torn_tail(path, first):
+    ends = await written(path)
+    data = bytearray(path.read_bytes())
+    begin = ends[1] if first == "header" else (ends[1] // 512 + 1) * 512
+    end = min((begin // 512 + 1) * 512, ends[2])
+    data[begin:end] = bytes(end - begin)
+    path.write_bytes(data)
+    journal = DiskJournal(path)
+    await journal.append([b"after", b""])
+    assert list(journal.read())[::2] == [b"0", b"1", b"after"]
+
+
+async def test_a_flipped_bit_anywhere_is_reported(path):
+    """Also one in a length, which must not pass for a torn tail."""
+    ends = await written(path)
+    for place in range(ends[2]):
+        flip(path, place)
+        with pytest.raises(JournalDamaged):
+            DiskJournal(path)
+        flip(path, place)
+    assert len(list(DiskJournal(path).read())) == 6
+
+
+async def test_an_emptied_file_is_reported(path):
+    await written(path)
+    path.write_bytes(b"")
+    with pytest.raises(JournalDamaged):
+        DiskJournal(path)
+
+
+@pytest.mark.parametrize("partly", [0, 5, 700])
+async def test_nothing_is_trusted_after_a_write_failed(path, partly):
+    await written(path, 1)
+    disk = FailingDisk("write", 1, errno.ENOSPC, partly)
+    journal = DiskJournal(path, disk)
+    for _ in range(2):
+        with pytest.raises(StorageFailed):
+            await journal.append(RECORDS)
+    with pytest.raises(StorageFailed):
+        journal.replace(RECORDS)
+    journal.close()
+    assert list(DiskJournal(path).read())[::2] == [b"0"]
+
+
+async def test_nothing_is_trusted_after_a_sync_failed(path):
+    await written(path, 1)
+    journal = DiskJournal(path, FailingDisk("sync", 2))
+    for _ in range(2):
+        with pytest.raises(StorageFailed):
+            await journal.append([b"doubtful"])
+    with pytest.raises(StorageFailed):
+        journal.replace([])
+
+
+@pytest.mark.parametrize("method", ["write", "sync"])
+async def test_a_replace_that_fails_leaves_the_earlier_records(path, method):
+    await written(path, 1)
+    journal = DiskJournal(path, FailingDisk(method, {"write": 1, "sync": 2}[method]))
+    with pytest.raises(StorageFailed):
+        journal.replace([b"new"])
+    await journal.append([b"more", b""])
+    assert list(journal.read())[::2] == [b"0", b"more"]
+    journal.close()
+    assert list(DiskJournal(path).read())[::2] == [b"0", b"more"]
+    assert [each.name for each in path.parent.iterdir()] == [path.name]
+
+
+async def test_a_replace_cut_short_by_a_crash_has_no_effect(path):
+    await written(path, 1)
+    path.with_name(path.name + ".new").write_bytes(b"half")
+    assert list(DiskJournal(path).read())[::2] == [b"0"]
+
+
+async def test_replace_refuses_while_an_append_is_under_way(path):
+    disk = WaitingDisk()
+    journal = DiskJournal(path, disk)
+    disk.may_sync.clear()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(journal.append, RECORDS)
+        await trio.testing.wait_all_tasks_blocked()
+        with pytest.raises(RuntimeError):
+            journal.replace([])
+        disk.may_sync.set()
+    assert list(journal.read()) == RECORDS
+
+
+async def test_an_empty_file_has_only_its_header(path):
+    DiskJournal(path).close()
+    assert path.stat().st_size == FILE_HEADER_BYTES
