Catch the wrong variants of the agreement on walks that a seed fixes

The generator of hypothesis draws from constants of all modules, so its derandomized examples change with every module that is added; whether a variant is caught was left to luck.

Change: the variants run the same rules on up to 400 walks of 25 steps, each fixed by its seed; the right one runs 100 of the same walks. The state machine over the right one stays with hypothesis. An event no longer carries a free text.

--- a/currantwell/control.py
+++ b/currantwell/control.py
@@ -244,7 +244,7 @@
         )
         verdict = await self._client.propose(command)
         if verdict.code is not ResultCode.ACCEPTED:
-            events.REGISTRATION_REFUSED.log(host=self.host, detail=verdict.detail)
+            events.REGISTRATION_REFUSED.log(host=self.host, code=verdict.code)
 
     async def _archive_loop(self) -> None:
         while True:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,5 +1,7 @@
 """The decisions of members under all that a wire, a disk and a machine can do."""
 
+import random
+
 import hypothesis.strategies as st
 import pytest
 from hypothesis import HealthCheck, Phase, settings
@@ -33,7 +35,8 @@
     print_blob=False,
 )
 
-THOROUGH = settings(SETTINGS, max_examples=400)
+WALKS = 400
+WALK_STEPS = 25
 STORM_STEPS = 100
 seeds = st.integers(0, 2**32)
 places = st.integers(0, 4)
@@ -168,7 +171,43 @@
 )
 def test_the_machine_catches_a_wrong_variant(kind, forgetful):
     with pytest.raises(AssertionError):
-        run_state_machine_as_test(machine(kind, forgetful), settings=THOROUGH)
+        for seed in range(WALKS):
+            walk(machine(kind, forgetful), seed)
+
+
+def test_the_same_walks_find_no_fault_in_the_right_one():
+    for seed in range(WALKS // 4):
+        walk(Agreement, seed)
+
+
+def walk(kind, seed):
+    """Take the machine's steps in an order that the seed alone fixes.
+
+    The order that hypothesis takes changes with the constants of the whole package,
+    so that whether it comes upon a variant's fault would change with any module.
+    """
+    chance = random.Random(seed)
+    steps = kind()
+    steps.begin(chance.choice((3, 3, 4, 5)), seed)
+    for _ in range(WALK_STEPS):
+        draw = chance.getrandbits(32)
+        action = chance.choice(
+            (
+                lambda: steps.storm([draw]),
+                lambda: steps.contest([draw]),
+                lambda: steps.contest([draw]),
+                steps.use_leaders,
+                lambda: steps.settle(0.5),
+                lambda: steps.crash(draw, draw % 2 == 0),
+                lambda: steps.lose_disk(draw),
+                lambda: steps.remove(draw),
+                steps.freeze_for_long,
+                steps.heal,
+            )
+        )
+        action()
+        steps.applied_alike()
+    steps.teardown()
 
 
 def group_of(count):
