Let operators see, plan and change the agreed state, and run it on every host

Cause: the agreed state had no way in or out, and hosts followed fixed rules.

Each host builds its control plane from its settings: peers, the replicated log and the control service, or a journaled log of its own when it is alone. Operators get routes under /v1/admin, a high-level client that resends a change under its id, and the commands preset, quota, audit, host list and host remove. What is read is confirmed by a majority, or marked as possibly out of date.

--- a/currantwell/cli/__init__.py
+++ b/currantwell/cli/__init__.py
@@ -3,12 +3,15 @@
 import click
 
 from .. import __version__
+from .audit import audit
 from .bench import bench
 from .demo import demo
 from .endpoint import endpoint
 from .host import host
 from .job import job
 from .load import load
+from .preset import preset
+from .quota import quota
 from .settings import settings
 from .status import status
 from .token import token
@@ -23,12 +26,15 @@
 
 
 for _command in (
+    audit,
     bench,
     demo,
     endpoint,
     host,
     job,
     load,
+    preset,
+    quota,
     settings,
     status,
     token,
--- a/currantwell/cli/session.py
+++ b/currantwell/cli/session.py
@@ -12,6 +12,7 @@
 from ..client import Client
 from ..errors import EndpointUnreachable, RequestRefused
 from ..exit_codes import ExitCode, exit_code
+from ..operator_client import OperatorClient
 
 __all__ = ["as_json", "ask_hosts", "connection", "echo_json", "fail"]
 
@@ -39,7 +40,7 @@
     def connected(
         *arguments: Any, urls: tuple[str, ...], token: str | None, **options: Any
     ) -> None:
-        command(Client(urls, token), *arguments, **options)
+        command(OperatorClient(urls, token), *arguments, **options)
 
     return connected
 
--- a/currantwell/control.py
+++ b/currantwell/control.py
@@ -9,7 +9,7 @@
 
 from . import events
 from .agreed_state import AgreedState
-from .agreement import Agreement
+from .agreement import PROPOSE_TIMEOUT_S, Agreement
 from .audit import AuditArchive
 from .changes import (
     OperatorCommand,
@@ -170,7 +170,11 @@
         command = msgspec.structs.replace(command, change=stamped)
         return await self._client.propose(command)
 
-    async def confirm(self) -> None:
+    def hosts(self) -> dict[HostId, HostRecord]:
+        """Return the hosts that registered."""
+        return self.state.image.hosts
+
+    async def confirm(self, timeout_s: float = PROPOSE_TIMEOUT_S) -> None:
         """Return once this host's state holds all that was agreed before the call.
 
         Raises
@@ -178,7 +182,7 @@
         AgreementLost
             If no majority confirmed it in time.
         """
-        await self._agreement.confirm()
+        await self._agreement.confirm(timeout_s)
 
     async def wait_in_force(self, version: int, timeout_s: float) -> bool:
         """Tell whether the preset of a version comes in force here in time."""
--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -8,8 +8,11 @@
 import trio
 
 from . import events
+from .admin_api import AdminApi
 from .auth import OpenAuthenticator, load_tokens
 from .clock import SystemCalendar
+from .control import Control
+from .control_plane import build_control_plane
 from .dispatch_policies import dispatch_scheduler
 from .dispatcher import Dispatcher, DispatcherLimits
 from .http_api import HttpApi, HttpParts
@@ -20,8 +23,6 @@
 from .journal import DiskJournal, Journal, MemoryJournal
 from .kernel import Kernel
 from .metrics import LoopMonitor, MeasuredJobLog, Metrics
-from .presets import FixedPreset
-from .quotas import EqualQuotas
 from .router import Router, StaticDirectory
 from .settings import HostSettings
 from .status import SystemStatus
@@ -51,23 +52,26 @@
         """Serve until stopped; return whether it drained in time."""
         epoch = await self._next_epoch()
         metrics = Metrics()
+        calendar = SystemCalendar()
+        plane = await build_control_plane(self.settings, self._journal, calendar)
         self.dispatcher = Dispatcher(
             self.settings.data_centre,
             epoch,
             MeasuredJobLog(LocalJobLog(self._journal("jobs")), metrics),
-            dispatch_scheduler(FixedPreset(), EqualQuotas(), random.Random()),
-            SystemCalendar(),
+            dispatch_scheduler(plane.control, plane.control, random.Random()),
+            calendar,
             DispatcherLimits(endpoint_lease_s=self.settings.endpoint_lease_s),
             metrics,
         )
         router = Router(StaticDirectory({self.settings.data_centre: self.dispatcher}))
-        parts = self._http_parts(metrics, self.dispatcher)
+        parts = self._http_parts(metrics, self.dispatcher, plane.control)
         api = HttpApi(self.settings.data_centre, router, self.dispatcher, parts)
         self._api = api
         listener = bind(self.settings.address, self.settings.http_port)
         server = HttpServer(api.app(), listener, self.settings.drain_timeout_s)
         self.address = server.address
-        for service in (LoopMonitor(metrics), server, router, self.dispatcher):
+        services = (LoopMonitor(metrics), server, router, self.dispatcher)
+        for service in (*plane.services, *services):
             self.kernel.register(service)
         return await self.kernel.run(task_status)
 
@@ -78,18 +82,19 @@
             self._api.ready = False
         self.kernel.stop()
 
-    def _http_parts(self, metrics: Metrics, dispatcher: Dispatcher) -> HttpParts:
+    def _http_parts(
+        self, metrics: Metrics, dispatcher: Dispatcher, control: Control
+    ) -> HttpParts:
         own = self.settings
         tokens = own.tokens_file
         status = SystemStatus(
-            own.host, own.data_centre, dispatcher, FixedPreset(), dispatcher
+            own.host, own.data_centre, dispatcher, control, dispatcher
         )
+        authenticator = load_tokens(tokens) if tokens else OpenAuthenticator()
+        budget = BodyBudget(own.bodies_in_flight_bytes)
+        admin = AdminApi(control, authenticator, budget)
         return HttpParts(
-            load_tokens(tokens) if tokens else OpenAuthenticator(),
-            BodyBudget(own.bodies_in_flight_bytes),
-            metrics,
-            dispatcher,
-            status,
+            authenticator, budget, metrics, dispatcher, status, tuple(admin.routes())
         )
 
     async def _next_epoch(self) -> Epoch:
--- a/currantwell/http_api.py
+++ b/currantwell/http_api.py
@@ -21,7 +21,7 @@
 from .errors import BodyMalformed, InvalidRequest, NotAuthorized
 from .gateway import JobGateway
 from .http_body import BodyBudget, read_body
-from .http_replies import Guard, json_reply, no_route, reply, text_reply
+from .http_replies import Guard, Handler, json_reply, no_route, reply, text_reply
 from .ids import (
     DataCentre,
     EndpointId,
@@ -62,6 +62,8 @@
         Knows the load of the host.
     status : StatusSource or None
         Knows the state of the system.
+    routes : tuple
+        Method, path and handler of each further route.
     """
 
     authenticator: Authenticator = dataclasses.field(default_factory=OpenAuthenticator)
@@ -69,6 +71,7 @@
     metrics: Metrics = dataclasses.field(default_factory=Metrics)
     load: LoadSource = dataclasses.field(default_factory=NoLoad)
     status: StatusSource | None = None
+    routes: tuple[tuple[str, str, Handler], ...] = ()
 
 
 class HttpApi:
@@ -120,6 +123,7 @@
             ("GET", "/metrics", self.get_metrics),
             ("GET", "/healthz", self.get_health),
             ("GET", "/readyz", self.get_ready),
+            *self._parts.routes,
         ]
         return Starlette(
             routes=[
--- a/currantwell/http_replies.py
+++ b/currantwell/http_replies.py
@@ -22,7 +22,7 @@
 )
 from .metrics import Metrics
 
-__all__ = ["Guard", "json_reply", "no_route", "reply", "text_reply"]
+__all__ = ["Guard", "Handler", "json_reply", "no_route", "reply", "text_reply"]
 
 JSON = "application/json"
 RETRY_AFTER_S = 1.0
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -216,6 +216,8 @@
             await trio.sleep(timeout_s)
             raise AgreementLost(f"{self.name} is cut off")
         await trio.sleep(0.005)
+        if not self.cluster.reach(self.name, self.leader):
+            raise AgreementLost(f"{self.name} was cut off")
 
     async def propose(self, command, timeout_s=3.0):
         await self._majority(timeout_s)
