--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -103,7 +103,7 @@
     600,
     "preset_activated",
     Level.INFO,
-    "The proposed preset is in force; reason says why.",
+    "The proposed preset is in force; ground says why it may be.",
 )
 VIEW_REPAIRED = _event(
     601, "view_repaired", Level.WARNING, "A data centre passes over a lost host."
--- a/currantwell/leadership.py
+++ b/currantwell/leadership.py
@@ -160,7 +160,7 @@
             unix_s = self._client.calendar.unix_s()
             command = ActivatePreset(version, self._host, ground, unix_s)
             await self._client.propose(command)
-            events.PRESET_ACTIVATED.log(version=version, reason=ground)
+            events.PRESET_ACTIVATED.log(version=version, ground=ground)
 
     async def _repair_view(self, data_centre: DataCentre) -> None:
         view = self._state.image.views.get(data_centre)
