--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -180,6 +180,20 @@
         walk(Agreement, seed)
 
 
+WALK_RULES = (
+    lambda steps, draw: steps.storm([draw]),
+    lambda steps, draw: steps.contest([draw]),
+    lambda steps, draw: steps.contest([draw]),
+    lambda steps, draw: steps.use_leaders(),
+    lambda steps, draw: steps.settle(0.5),
+    lambda steps, draw: steps.crash(draw, draw % 2 == 0),
+    lambda steps, draw: steps.lose_disk(draw),
+    lambda steps, draw: steps.remove(draw),
+    lambda steps, draw: steps.freeze_for_long(),
+    lambda steps, draw: steps.heal(),
+)
+
+
 def walk(kind, seed):
     """Take the machine's steps in an order that the seed alone fixes.
 
@@ -190,22 +204,8 @@
     steps = kind()
     steps.begin(chance.choice((3, 3, 4, 5)), seed)
     for _ in range(WALK_STEPS):
-        draw = chance.getrandbits(32)
-        action = chance.choice(
-            (
-                lambda: steps.storm([draw]),
-                lambda: steps.contest([draw]),
-                lambda: steps.contest([draw]),
-                steps.use_leaders,
-                lambda: steps.settle(0.5),
-                lambda: steps.crash(draw, draw % 2 == 0),
-                lambda: steps.lose_disk(draw),
-                lambda: steps.remove(draw),
-                steps.freeze_for_long,
-                steps.heal,
-            )
-        )
-        action()
+        step = chance.choice(WALK_RULES)
+        step(steps, chance.getrandbits(32))
         steps.applied_alike()
     steps.teardown()
 
