Address starts and adoptions to one incarnation

Cause: an endpoint whose lease ran out goes on under the same URL as a new incarnation; until it announces itself, a start sent on the old link would run in the new incarnation while the job table places it in the old one, whose end is declared when the old lease is over: a task that may be started again once its attempt is over would run twice. Change: StartBatch, Adopt and the result stream name the incarnation that they are for; an endpoint refuses another's with status 410. EndpointLink gets the protocols Link and Connect for tests. Not run: a test that provokes the race itself at the endpoint.

--- a/currantwell/emulator.py
+++ b/currantwell/emulator.py
@@ -45,6 +45,7 @@
 BEAT_INTERVAL_S = 0.5
 STALE_EPOCH_STATUS = 409
 STALE_BATCH_STATUS = 410
+OTHER_INCARNATION_STATUS = 410
 NO_RACK = Rack("")
 _json = msgspec.json.Encoder()
 
@@ -186,6 +187,8 @@
         await self._freeze()
         if adopt.epoch < self._epoch:
             return Response(status_code=STALE_EPOCH_STATUS)
+        if adopt.incarnation != self._incarnation:
+            return Response(status_code=OTHER_INCARNATION_STATUS)
         self._take_epoch(adopt.epoch)
         held = Held(self._incarnation, self._epoch, tuple(self._attempts))
         return _reply(held)
@@ -196,6 +199,8 @@
         await self._freeze()
         if batch.epoch < self._epoch:
             return Response(status_code=STALE_EPOCH_STATUS)
+        if batch.incarnation != self._incarnation:
+            return Response(status_code=OTHER_INCARNATION_STATUS)
         self._take_epoch(batch.epoch)
         if batch.batch < self._last_batch:
             return Response(status_code=STALE_BATCH_STATUS)
@@ -212,6 +217,8 @@
         await self._freeze()
         if epoch < self._epoch:
             return Response(status_code=STALE_EPOCH_STATUS)
+        if request.query_params["incarnation"] != self._incarnation:
+            return Response(status_code=OTHER_INCARNATION_STATUS)
         self._take_epoch(epoch)
         return StreamingResponse(self._stream(epoch, after))
 
@@ -324,9 +331,12 @@
         self._news = trio.Event()
 
     async def _stream(self, epoch: Epoch, after: int) -> AsyncIterator[bytes]:
-        yield self._line(Beat(self._incarnation, self._running))
-        while epoch == self._epoch:
+        incarnation = self._incarnation
+        yield self._line(Beat(incarnation, self._running))
+        while epoch == self._epoch and incarnation == self._incarnation:
             await self._freeze()
+            if incarnation != self._incarnation:
+                return
             news = self._news
             lines = [line for line in self._results if line.seq > after]
             if lines:
--- a/currantwell/endpoint_link.py
+++ b/currantwell/endpoint_link.py
@@ -5,7 +5,7 @@
 from the last result seen.
 """
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Protocol
 
 import msgspec
@@ -25,7 +25,7 @@
 from .http_client import HttpClient
 from .ids import EndpointId, Epoch, Incarnation
 
-__all__ = ["EndpointLink", "LinkOwner"]
+__all__ = ["Connect", "EndpointLink", "Link", "LinkOwner"]
 
 REQUEST_TIMEOUT_S = 1.0
 SILENCE_S = 1.5
@@ -70,6 +70,25 @@
         ...
 
 
+class Link(Protocol):
+    """Carries starts and stops to one incarnation of an endpoint."""
+
+    def send(self, starts: Sequence[Start], stops: Sequence[AttemptRef] = ()) -> None:
+        """Queue starts and stops."""
+        ...
+
+    def close(self) -> None:
+        """Stop sending and listening."""
+        ...
+
+    async def run(self) -> None:
+        """Adopt the endpoint, then send and listen until closed."""
+        ...
+
+
+Connect = Callable[[EndpointId, Incarnation, str, Epoch, LinkOwner], Link]
+
+
 class EndpointLink:
     """Sends to one incarnation of an endpoint and listens to it.
 
@@ -138,7 +157,7 @@
                 await self._client.close()
 
     async def _adopt(self) -> None:
-        body = _encoder.encode(Adopt(self.epoch))
+        body = _encoder.encode(Adopt(self.epoch, self.incarnation))
         held = _held_decoder.decode(await self._post("/v1/adopt", body))
         await self._owner.attempts_held(self.endpoint, held)
         self._adopted.set()
@@ -158,7 +177,14 @@
         del self._starts[:MAX_BATCH_STARTS]
         stops, self._stops = tuple(self._stops), []
         self._batches += 1
-        return StartBatch(self.epoch, self._batches, starts, stops, self._acked_seq)
+        return StartBatch(
+            self.epoch,
+            self.incarnation,
+            self._batches,
+            starts,
+            stops,
+            self._acked_seq,
+        )
 
     async def _post(self, path: str, body: bytes) -> bytes:
         """Send until it is answered; the endpoint knows attempts that it has seen."""
@@ -179,7 +205,10 @@
 
     async def _listen_loop(self) -> None:
         while True:
-            path = f"/v1/results?epoch={self.epoch}&after={self._acked_seq}"
+            path = (
+                f"/v1/results?epoch={self.epoch}&incarnation={self.incarnation}"
+                f"&after={self._acked_seq}"
+            )
             try:
                 async with self._client.stream(path) as pieces:
                     await self._listen(pieces)
--- a/currantwell/endpoint_protocol.py
+++ b/currantwell/endpoint_protocol.py
@@ -133,6 +133,8 @@
         Attempts to stop.
     acked_seq : int
         Results up to this number are durable at the host and may be dropped.
+    incarnation : str
+        The incarnation that the batch is for; another one refuses all.
     batch : int
         Counts up by one with each new batch of an epoch. An endpoint carries out a
         batch once: it answers the latest number again with the same reply, and
@@ -140,6 +142,7 @@
     """
 
     epoch: Epoch
+    incarnation: Incarnation
     batch: int
     starts: tuple[Start, ...] = ()
     stops: tuple[AttemptRef, ...] = ()
@@ -162,9 +165,10 @@
 
 
 class Adopt(msgspec.Struct, frozen=True):
-    """A new primary taking over an endpoint."""
+    """A new primary taking over an incarnation of an endpoint."""
 
     epoch: Epoch
+    incarnation: Incarnation
 
 
 class Held(msgspec.Struct, frozen=True):
