--- a/currantwell/codes.py
+++ b/currantwell/codes.py
@@ -34,6 +34,7 @@
     VERSION_CONFLICT = 4007
     UNKNOWN_DATA_CENTRE = 4008
     NOT_FOUND = 4009
+    ANSWER_NOT_KEPT = 4010
     TASK_FAILED = 5000
     JOB_FAILED = 5001
     JOB_CANCELLED = 5002
@@ -61,6 +62,7 @@
     ResultCode.VERSION_CONFLICT: 409,
     ResultCode.UNKNOWN_DATA_CENTRE: 400,
     ResultCode.NOT_FOUND: 404,
+    ResultCode.ANSWER_NOT_KEPT: 410,
     ResultCode.INTERNAL: 500,
 }
 _NOT_RUN_STATUS = 503
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -3,10 +3,12 @@
 Invariants: nothing is sent to an endpoint, and nothing is told to a caller, before
 the records that it rests on are committed; the job table changes as records are
 put in the outbox, and whoever shows it to the outside waits for their commit.
+A dispatcher that has stopped tells no one anything: whoever waits gets `Deposed`.
 """
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
 
 import trio
 
@@ -14,7 +16,7 @@
 from .answers import Answer, Refusal, TaskState
 from .clock import CalendarClock, now_s
 from .codes import ResultCode
-from .endpoint_link import EndpointLink
+from .endpoint_link import Connect, EndpointLink, Link
 from .endpoint_protocol import (
     Announcement,
     AnnouncementReply,
@@ -33,9 +35,11 @@
 from .records import (
     AttemptEnded,
     AttemptStarted,
+    AttemptWithdrawn,
     JobAccepted,
     JobCancelled,
     JobClosed,
+    JobForgotten,
     Record,
 )
 from .scheduler import JobRequest, PlacedTask, Scheduler, WaitingTask
@@ -44,6 +48,8 @@
 __all__ = ["Dispatcher", "DispatcherLimits"]
 
 TICK_S = 0.1
+PAUSE_POLL_S = 0.02
+FORGET_INTERVAL_S = 10.0
 CLOCK_DRIFT = 0.01
 LEASE_REFUSED_S = 0.0
 
@@ -58,10 +64,13 @@
         How long an endpoint may run on without a reply to its announcements.
     suspect_after_s : float
         After so long a silence an endpoint gets no new start.
+    answer_kept_s : float
+        How long after its deadline the answer of a job is kept.
     """
 
     endpoint_lease_s: float = 8.0
     suspect_after_s: float = 1.5
+    answer_kept_s: float = 86_400.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,7 +78,7 @@
     """An endpoint that announced itself."""
 
     announcement: Announcement
-    link: EndpointLink
+    link: Link
     heard_s: float
 
 
@@ -99,6 +108,8 @@
         For deadlines that outlast the process.
     limits : DispatcherLimits
         Limits.
+    connect : callable
+        Makes the link to an incarnation of an endpoint.
     """
 
     name = ServiceName("dispatcher")
@@ -111,6 +122,7 @@
         scheduler: Scheduler,
         calendar: CalendarClock,
         limits: DispatcherLimits | None = None,
+        connect: Connect = EndpointLink,
     ) -> None:
         self.data_centre = data_centre
         self.epoch = epoch
@@ -121,6 +133,7 @@
         self._scheduler = scheduler
         self._calendar = calendar
         self._limits = limits or DispatcherLimits()
+        self._connect = connect
         self._known: dict[EndpointId, _Known] = {}
         self._outbox: list[_Entry] = []
         self._placed: list[PlacedTask] = []
@@ -131,15 +144,26 @@
         self._over: set[tuple[EndpointId, Incarnation]] = set()
         self._nursery: trio.Nursery | None = None
         self._shutting_down = False
+        self._paused = False
+        self._unanswered: set[AttemptRef] = set()
+        self._waiters: set[trio.CancelScope] = set()
+        self._stopped = False
+        self._forget_due_s = 0.0
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Recover, then dispatch until cancelled or deposed."""
         self._recover()
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            nursery.start_soon(self._tick_loop)
-            task_status.started()
-            await self._pump_loop()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                self._finish_recovered()
+                nursery.start_soon(self._tick_loop)
+                task_status.started()
+                await self._pump_loop()
+        finally:
+            self._stopped = True
+            for scope in self._waiters:
+                scope.cancel()
 
     async def drain(self) -> None:
         """Refuse new jobs and return once all accepted ones are answered."""
@@ -147,6 +171,18 @@
         for answered in list(self._answered.values()):
             await answered.wait()
 
+    async def pause(self, timeout_s: float) -> None:
+        """Send no more starts and return once endpoints have answered all sent."""
+        self._paused = True
+        with trio.move_on_after(timeout_s):
+            while self._unanswered:
+                await trio.sleep(PAUSE_POLL_S)
+
+    def resume(self) -> None:
+        """Send starts again."""
+        self._paused = False
+        self._wake.set()
+
     # What callers ask.
 
     async def submit(self, submission: Submission) -> Answer | Refusal:
@@ -157,6 +193,11 @@
         Answer or Refusal
             The state of the job, once its acceptance is durable; or why it was
             refused.
+
+        Raises
+        ------
+        Deposed
+            If the dispatcher stopped; whether the job was accepted is unknown.
         """
         job_key = job_id(submission.team, submission.key)
         digest = digest_of(submission)
@@ -170,28 +211,32 @@
             return Refusal(
                 ResultCode.KEY_REUSED, "the key names a job with another body", "key"
             )
-        await self._accepted[job_key].wait()
+        with self._unless_stopped():
+            await self._accepted[job_key].wait()
         return self._answer(job_key)
 
     async def wait(self, job: JobId, timeout_s: float) -> Answer | Refusal:
         """Return the answer of a job, or its state once the time is up."""
         if job not in self.table.jobs:
-            return Refusal(ResultCode.JOB_NOT_FOUND, "no such job", "key")
-        with trio.move_on_after(timeout_s):
-            await self._answered[job].wait()
+            return self._no_job(job)
+        with self._unless_stopped():
+            await self._accepted[job].wait()
+            with trio.move_on_after(timeout_s):
+                await self._answered[job].wait()
         return self._answer(job)
 
     async def cancel(self, job: JobId) -> Answer | Refusal:
         """Start nothing more of a job and stop what runs."""
         if job not in self.table.jobs:
-            return Refusal(ResultCode.JOB_NOT_FOUND, "no such job", "key")
-        await self._cancel(job, ResultCode.JOB_CANCELLED)
+            return self._no_job(job)
+        with self._unless_stopped():
+            await self._cancel(job, ResultCode.JOB_CANCELLED)
         return self._answer(job)
 
     async def explain(self, job: JobId) -> list[str] | Refusal:
         """Say why the tasks of a job stand where they stand."""
         if job not in self.table.jobs:
-            return Refusal(ResultCode.JOB_NOT_FOUND, "no such job", "key")
+            return self._no_job(job)
         return self._scheduler.explain(job)
 
     async def endpoints(self) -> list[Announcement] | Refusal:
@@ -203,6 +248,9 @@
         process = (announcement.endpoint, announcement.incarnation)
         if process in self._over:
             return AnnouncementReply(LEASE_REFUSED_S, self.epoch)
+        lease_s = self._limits.endpoint_lease_s - self._log.confirmed_age_s()
+        if lease_s <= 0 or self._stopped:
+            return Refusal(ResultCode.NOT_RUN_NO_PRIMARY, "a newer view may exist")
         known = self._known.get(announcement.endpoint)
         if known is not None and not _same_process(known.announcement, announcement):
             self._lose(known)
@@ -213,7 +261,7 @@
         known.heard_s = now_s()
         self._scheduler.endpoint_announced(announcement, now_s())
         self._wake.set()
-        return AnnouncementReply(self._limits.endpoint_lease_s, self.epoch)
+        return AnnouncementReply(lease_s, self.epoch)
 
     # What links tell.
 
@@ -222,6 +270,7 @@
     ) -> None:
         """Take in which starts of a batch the endpoint refused."""
         self.starts_refused += len(reply.refused)
+        self._unanswered.difference_update(start.ref for start in batch.starts)
         ended = [AttemptEnded(refused.ref, refused.code) for refused in reply.refused]
         if ended:
             await self._end(ended, {})
@@ -233,7 +282,11 @@
         results: Sequence[ResultLine],
     ) -> None:
         """Return once the results are durable."""
-        ended = [AttemptEnded(line.ref, line.code, line.value) for line in results]
+        ended = [
+            AttemptEnded(line.ref, line.code, line.value)
+            for line in results
+            if self._runs_at(line.ref, endpoint, incarnation)
+        ]
         await self._end(ended, {line.ref: line.run_s for line in results})
 
     async def attempts_held(self, endpoint: EndpointId, held: Held) -> None:
@@ -258,11 +311,35 @@
         events.DEPOSED.log(epoch=self.epoch, endpoint=endpoint)
         raise Deposed(f"{endpoint} serves a newer epoch than {self.epoch}")
 
+    @contextmanager
+    def _unless_stopped(self) -> Iterator[None]:
+        """Raise `Deposed` if the dispatcher has stopped or stops in the body."""
+        if self._stopped:
+            raise Deposed(f"epoch {self.epoch} has ended")
+        with trio.CancelScope() as scope:
+            self._waiters.add(scope)
+            try:
+                yield
+            finally:
+                self._waiters.discard(scope)
+        if self._stopped:
+            raise Deposed(f"epoch {self.epoch} has ended")
+
     # Jobs.
 
+    def _no_job(self, job: JobId) -> Refusal:
+        if job in self.table.forgotten:
+            return Refusal(ResultCode.ANSWER_NOT_KEPT, "ended long ago", "key")
+        return Refusal(ResultCode.JOB_NOT_FOUND, "no such job", "key")
+
     def _check_new(self, job: JobId, submission: Submission) -> Refusal | None:
+        if job in self.table.forgotten:
+            return self._no_job(job)
         if self._shutting_down:
             return Refusal(ResultCode.NOT_RUN_SHUTTING_DOWN, "host is shutting down")
+        if self._log.second_copy_missing():
+            detail = "no second host could hold the job"
+            return Refusal(ResultCode.NOT_RUN_SECOND_COPY_MISSING, detail)
         return self._scheduler.admit(self._request(job, submission), now_s())
 
     def _accept(self, job: JobId, submission: Submission, digest: str) -> None:
@@ -282,17 +359,18 @@
             left_s = held.deadline_unix_s - self._calendar.unix_s()
         return JobRequest(job, submission.team, submission.tasks, now_s() + left_s)
 
-    def _answer(self, job_key: JobId) -> Answer:
-        job = self.table.jobs[job_key]
+    def _answer(self, job_key: JobId) -> Answer | Refusal:
+        job = self.table.jobs.get(job_key)
+        if job is None:
+            return self._no_job(job_key)
         if job.code is not None and not self._answered[job_key].is_set():
             return Answer(job.submission.key, job.state, ResultCode.RUNNING)
         return job.answer()
 
     async def _cancel(self, job_key: JobId, code: ResultCode) -> None:
         job = self.table.jobs[job_key]
-        if job.code is not None or job.cancel_code is not None:
-            return
-        self._doom(job, code)
+        if job.code is None and job.cancel_code is None:
+            self._doom(job, code)
         await self._put([]).wait()
 
     def _doom(self, job: Job, code: ResultCode) -> None:
@@ -326,20 +404,28 @@
 
     # Attempts.
 
+    def _runs_at(
+        self, ref: AttemptRef, endpoint: EndpointId, incarnation: Incarnation
+    ) -> bool:
+        task = self.table.task(ref)
+        place = (endpoint, incarnation)
+        return task is not None and (task.endpoint, task.incarnation) == place
+
     async def _end(
         self, ended: Sequence[AttemptEnded], run_s: dict[AttemptRef, float]
     ) -> None:
         """Take in the ends of attempts and return once they are durable."""
-        jobs: dict[JobId, Job] = {}
+        tasks: dict[JobId, list[int]] = {}
         for record in ended:
             task = self.table.task(record.ref)
             if task is None or task.state is not TaskState.STARTED:
                 continue
             self._put([record])
             self._free(record, run_s.get(record.ref, 0.0))
-            jobs[record.ref.job] = self.table.jobs[record.ref.job]
-        for job in jobs.values():
-            self._after_ends(job)
+            self._unanswered.discard(record.ref)
+            tasks.setdefault(record.ref.job, []).append(record.ref.task)
+        for job, indices in tasks.items():
+            self._after_ends(self.table.jobs[job], indices)
         await self._put([]).wait()
 
     def _free(self, record: AttemptEnded, run_s: float) -> None:
@@ -348,14 +434,15 @@
             ok = record.code is ResultCode.COMPLETE
         self._scheduler.ended(record.ref, ok, run_s)
 
-    def _after_ends(self, job: Job) -> None:
+    def _after_ends(self, job: Job, indices: Sequence[int]) -> None:
+        """Queue tasks whose attempts have ended again, or close their job."""
         if job.cancel_code is None and job.doomed:
             self._doom(job, ResultCode.JOB_FAILED)
             return
         again = {
-            index: task.attempt + 1
-            for index, task in enumerate(job.tasks)
-            if task.state is TaskState.WAITING and task.attempt > 0
+            index: job.tasks[index].attempt + 1
+            for index in indices
+            if job.tasks[index].state is TaskState.WAITING
         }
         if again:
             self._scheduler.add(self._request(job.id, job.submission), again, now_s())
@@ -378,7 +465,7 @@
 
     def _meet(self, announcement: Announcement) -> _Known:
         self._lost.pop((announcement.endpoint, announcement.incarnation), None)
-        link = EndpointLink(
+        link = self._connect(
             announcement.endpoint,
             announcement.incarnation,
             announcement.url,
@@ -424,6 +511,7 @@
                 if silent_s > lease_s:
                     self._lose(known)
             await self._end_lost(now)
+            self._forget_old()
             for job in self._scheduler.expired(now):
                 await self._cancel(job, ResultCode.DEADLINE_PASSED)
 
@@ -442,7 +530,7 @@
         while True:
             await self._wake.wait()
             self._wake = trio.Event()
-            placed = self._scheduler.plan(now_s())
+            placed = [] if self._paused else self._scheduler.plan(now_s())
             if placed:
                 self._put([self._intent(item) for item in placed])
             entries, self._outbox = self._outbox, []
@@ -459,13 +547,34 @@
         )
 
     def _send(self, placed: Sequence[PlacedTask]) -> None:
+        """Send committed starts; withdraw those overtaken during the commit."""
         starts: dict[EndpointId, list[Start]] = {}
         for item in placed:
-            starts.setdefault(item.endpoint, []).append(_start(item))
+            if self._overtaken(item):
+                self._withdraw(item)
+            else:
+                starts.setdefault(item.endpoint, []).append(_start(item))
         for endpoint, items in starts.items():
-            if endpoint in self._known:
-                self.starts_sent += len(items)
-                self._known[endpoint].link.send(items)
+            self.starts_sent += len(items)
+            self._unanswered.update(start.ref for start in items)
+            self._known[endpoint].link.send(items)
+
+    def _overtaken(self, item: PlacedTask) -> bool:
+        task = self.table.task(item.ref)
+        if task is None or task.state is not TaskState.STARTED:
+            return True
+        known = self._known.get(item.endpoint)
+        if known is None or known.announcement.incarnation != item.incarnation:
+            return True
+        job = self.table.jobs[item.ref.job]
+        return self._paused or job.cancel_code is not None
+
+    def _withdraw(self, item: PlacedTask) -> None:
+        self._scheduler.ended(item.ref, None, 0.0)
+        task = self.table.task(item.ref)
+        if task is not None and task.state is TaskState.STARTED:
+            self._put([AttemptWithdrawn(item.ref)])
+            self._after_ends(self.table.jobs[item.ref.job], [item.ref.task])
 
     def _put(self, records: list[Record]) -> trio.Event:
         """Apply records and put them in the outbox; the event tells of the commit."""
@@ -481,9 +590,33 @@
         for job in self.table.jobs.values():
             self._accepted[job.id] = _set_event()
             self._answered[job.id] = _set_event() if job.code else trio.Event()
+            if job.code is None:
+                self._requeue(job, now)
+
+    def _finish_recovered(self) -> None:
+        """Doom and close jobs whose dispatcher stopped before it did."""
+        for job in list(self.table.jobs.values()):
             if job.code is not None:
                 continue
-            self._requeue(job, now)
+            if job.cancel_code is None and job.doomed:
+                self._doom(job, ResultCode.JOB_FAILED)
+            else:
+                self._close_if_over(job)
+
+    def _forget_old(self) -> None:
+        """Forget answers that were kept long enough."""
+        now = now_s()
+        if now < self._forget_due_s:
+            return
+        self._forget_due_s = now + FORGET_INTERVAL_S
+        before_unix_s = self._calendar.unix_s() - self._limits.answer_kept_s
+        for job in list(self.table.jobs.values()):
+            if not self._answered[job.id].is_set():
+                continue
+            if job.deadline_unix_s < before_unix_s:
+                self._put([JobForgotten(job.id)])
+                self._accepted.pop(job.id, None)
+                self._answered.pop(job.id, None)
 
     def _requeue(self, job: Job, now: float) -> None:
         request = self._request(job.id, job.submission)
--- a/currantwell/job_log.py
+++ b/currantwell/job_log.py
@@ -19,6 +19,14 @@
         """Iterate over the records committed earlier, oldest first."""
         ...
 
+    def second_copy_missing(self) -> bool:
+        """Tell whether fewer hosts hold a copy than a new job needs."""
+        ...
+
+    def confirmed_age_s(self) -> float:
+        """Return how long ago it was certain that no newer view had taken over."""
+        ...
+
     async def commit(self, records: Sequence[Record]) -> None:
         """Return once the records are durable on every copy of the view.
 
@@ -54,6 +62,14 @@
         """Iterate over the records committed earlier, oldest first."""
         return (decode_record(data) for data in self._journal.read())
 
+    def second_copy_missing(self) -> bool:
+        """One copy is enough."""
+        return False
+
+    def confirmed_age_s(self) -> float:
+        """No one else can take over."""
+        return 0.0
+
     async def commit(self, records: Sequence[Record]) -> None:
         """Return once the records are synced."""
         self._waiting.extend(encode_record(record) for record in records)
--- a/currantwell/jobs.py
+++ b/currantwell/jobs.py
@@ -16,6 +16,7 @@
 from .records import (
     AttemptEnded,
     AttemptStarted,
+    AttemptWithdrawn,
     JobAccepted,
     JobCancelled,
     JobClosed,
@@ -29,7 +30,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Task:
-    """One task of a job and its latest attempt."""
+    """One task of a job and its latest attempt.
+
+    ``in_doubt`` says that an earlier attempt may have run, so that the task can't
+    be said not to have run any more.
+    """
 
     spec: TaskSpec
     state: TaskState = TaskState.WAITING
@@ -39,6 +44,7 @@
     incarnation: Incarnation | None = None
     epoch: Epoch | None = None
     value: Any = None
+    in_doubt: bool = False
 
     @property
     def ended(self) -> bool:
@@ -103,6 +109,7 @@
 
     def __init__(self) -> None:
         self.jobs: dict[JobId, Job] = {}
+        self.forgotten: set[JobId] = set()
 
     def apply(self, record: Record) -> None:
         """Change the table by one record.
@@ -117,12 +124,15 @@
                 self._start(record)
             case AttemptEnded():
                 self._end(record)
+            case AttemptWithdrawn():
+                self._withdraw(record)
             case JobCancelled(job=job_id, code=code):
                 self._cancel(job_id, code)
             case JobClosed(job=job_id, code=code):
                 self._close(job_id, code)
             case JobForgotten(job=job_id):
                 self.jobs.pop(job_id, None)
+                self.forgotten.add(job_id)
 
     def apply_all(self, records: Iterable[Record]) -> None:
         """Change the table by many records, in order."""
@@ -139,12 +149,13 @@
 
     def snapshot(self) -> list[Record]:
         """Return records that rebuild the table when applied in order."""
-        records: list[Record] = []
+        records: list[Record] = [JobForgotten(job) for job in self.forgotten]
         for job in self.jobs.values():
             records.extend(self._job_records(job))
         return records
 
     def _job_records(self, job: Job) -> Iterable[Record]:
+        """Yield starts, the cancellation and ends: ends are read in its light."""
         yield JobAccepted(
             job.id,
             job.digest,
@@ -152,20 +163,19 @@
             job.accepted_unix_s,
             job.deadline_unix_s,
         )
-        for index, task in enumerate(job.tasks):
-            ref = AttemptRef(job.id, index, task.attempt)
-            if task.endpoint is not None and task.incarnation is not None:
-                epoch = task.epoch if task.epoch is not None else Epoch(0)
-                yield AttemptStarted(ref, epoch, task.endpoint, task.incarnation)
-            if task.ended:
-                yield AttemptEnded(ref, task.code, task.value)
+        refs = [AttemptRef(job.id, i, t.attempt) for i, t in enumerate(job.tasks)]
+        for ref, task in zip(refs, job.tasks, strict=True):
+            yield from _start_records(ref, task)
         if job.cancel_code is not None:
             yield JobCancelled(job.id, job.cancel_code)
+        for ref, task in zip(refs, job.tasks, strict=True):
+            if task.ended:
+                yield AttemptEnded(ref, task.code, task.value)
         if job.code is not None:
             yield JobClosed(job.id, job.code)
 
     def _accept(self, record: JobAccepted) -> None:
-        if record.job in self.jobs:
+        if record.job in self.jobs or record.job in self.forgotten:
             return
         tasks = [Task(spec) for spec in record.submission.tasks]
         self.jobs[record.job] = Job(
@@ -183,6 +193,8 @@
         if job is None:
             return
         task = job.tasks[record.ref.task]
+        if task.state is not TaskState.WAITING or record.ref.attempt <= task.attempt:
+            return
         task.state = TaskState.STARTED
         task.attempt = record.ref.attempt
         task.endpoint = record.endpoint
@@ -202,9 +214,20 @@
             self._not_run(job, task, record)
         elif self._may_restart(job, task, RestartRule.IF_OVER):
             task.state = TaskState.WAITING
+            task.in_doubt = True
         else:
             self._settle(job, task, TaskState.UNKNOWN, record)
 
+    def _withdraw(self, record: AttemptWithdrawn) -> None:
+        job = self.jobs.get(record.ref.job)
+        task = self.task(record.ref)
+        if job is None or task is None or task.state is not TaskState.STARTED:
+            return
+        if job.cancel_code is None:
+            task.state = TaskState.WAITING
+        else:
+            self._settle_not_run(job, task, ResultCode.NOT_RUN_CANCELLED)
+
     def _may_restart(self, job: Job, task: Task, *rules: RestartRule) -> bool:
         return job.cancel_code is None and task.spec.restart in rules
 
@@ -213,7 +236,15 @@
         if self._may_restart(job, task, *rules):
             task.state = TaskState.WAITING
         else:
-            self._settle(job, task, TaskState.NOT_RUN, record)
+            self._settle_not_run(job, task, record.code)
+
+    def _settle_not_run(self, job: Job, task: Task, code: ResultCode) -> None:
+        """Say that a task did not run, unless an earlier attempt may have."""
+        task.state, task.code = TaskState.NOT_RUN, code
+        if task.in_doubt:
+            task.state, task.code = TaskState.UNKNOWN, ResultCode.UNKNOWN_ATTEMPT_LOST
+        task.in_doubt = False
+        job.open_tasks -= 1
 
     def _settle(
         self, job: Job, task: Task, state: TaskState, record: AttemptEnded
@@ -221,6 +252,7 @@
         task.state = state
         task.code = record.code
         task.value = record.value
+        task.in_doubt = False
         job.open_tasks -= 1
 
     def _cancel(self, job_id: JobId, code: ResultCode) -> None:
@@ -230,11 +262,27 @@
         job.cancel_code = code
         for task in job.tasks:
             if task.state is TaskState.WAITING:
-                task.state = TaskState.NOT_RUN
-                task.code = ResultCode.NOT_RUN_JOB_FAILED
-                job.open_tasks -= 1
+                self._settle_not_run(job, task, ResultCode.NOT_RUN_JOB_FAILED)
 
     def _close(self, job_id: JobId, code: ResultCode) -> None:
         job = self.jobs.get(job_id)
         if job is not None and job.code is None:
             job.code = code
+
+
+def _start_records(ref: AttemptRef, task: Task) -> Iterable[Record]:
+    """Yield what rebuilds a task up to its latest start."""
+    if task.endpoint is None or task.incarnation is None:
+        return
+    epoch = task.epoch if task.epoch is not None else Epoch(0)
+    if task.in_doubt and task.state is TaskState.STARTED:
+        earlier = AttemptRef(ref.job, ref.task, ref.attempt - 1)
+        yield AttemptStarted(earlier, epoch, task.endpoint, task.incarnation)
+        yield AttemptEnded(earlier, ResultCode.UNKNOWN_ATTEMPT_LOST)
+    yield AttemptStarted(ref, epoch, task.endpoint, task.incarnation)
+    if task.state is not TaskState.WAITING:
+        return
+    if task.in_doubt:
+        yield AttemptEnded(ref, ResultCode.UNKNOWN_ATTEMPT_LOST)
+    else:
+        yield AttemptWithdrawn(ref)
--- a/currantwell/records.py
+++ b/currantwell/records.py
@@ -12,6 +12,7 @@
 __all__ = [
     "AttemptEnded",
     "AttemptStarted",
+    "AttemptWithdrawn",
     "JobAccepted",
     "JobCancelled",
     "JobClosed",
@@ -60,6 +61,12 @@
     value: Any = None
 
 
+class AttemptWithdrawn(msgspec.Struct, frozen=True, tag="withdrawn"):
+    """An attempt whose start was never sent; its task waits again."""
+
+    ref: AttemptRef
+
+
 class JobCancelled(msgspec.Struct, frozen=True, tag="cancelled"):
     """A job that starts nothing more."""
 
@@ -84,6 +91,7 @@
     JobAccepted
     | AttemptStarted
     | AttemptEnded
+    | AttemptWithdrawn
     | JobCancelled
     | JobClosed
     | JobForgotten
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,263 @@
+"""The dispatcher under cancellation, lost commits, late results and recovery."""
+
+import math
+
+import pytest
+import trio
+
+from currantwell.answers import Answer, TaskState
+from currantwell.clock import SystemCalendar
+from currantwell.codes import ResultCode
+from currantwell.dispatcher import Dispatcher, DispatcherLimits
+from currantwell.endpoint_protocol import AttemptRef, Held, ResultLine
+from currantwell.errors import Deposed, StorageFailed
+from currantwell.ids import Epoch, Incarnation
+from currantwell.job_log import LocalJobLog
+from currantwell.journal import MemoryJournal
+from currantwell.records import JobCancelled, encode_record
+from currantwell.scheduler import AdmitAll, FifoOrdering, LeastLoaded, Scheduler
+from currantwell.submission import RestartRule
+from tests.builders import (
+    DATA_CENTRE,
+    a_job_id,
+    a_submission,
+    accepted,
+    an_announcement,
+    ended,
+    started,
+)
+
+FAR_UNIX_S = 1e12
+E1 = an_announcement()
+
+
+class FakeLink:
+    """Records what is sent; answers nothing of itself."""
+
+    def __init__(self, endpoint, incarnation, url, epoch, owner):
+        self.starts, self.stops, self.owner = [], [], owner
+        self.endpoint, self.incarnation, self.epoch = endpoint, incarnation, epoch
+
+    def send(self, starts, stops=()):
+        self.starts.extend(starts)
+        self.stops.extend(stops)
+
+    def close(self):
+        pass
+
+    async def run(self):
+        await trio.sleep_forever()
+
+    async def results(self, *lines):
+        await self.owner.results_arrived(self.endpoint, self.incarnation, lines)
+
+
+class HeldLog(LocalJobLog):
+    """A log whose commits may be held back or fail, and that may be deposed."""
+
+    def __init__(self, *records):
+        self.journal = MemoryJournal()
+        self.journal._records.extend(encode_record(record) for record in records)
+        super().__init__(self.journal)
+        self.open = trio.Event()
+        self.open.set()
+        self.fails = False
+        self.age_s = 0.0
+
+    def confirmed_age_s(self):
+        return self.age_s
+
+    async def commit(self, records):
+        await self.open.wait()
+        if self.fails:
+            raise StorageFailed("no")
+        await super().commit(records)
+
+
+@pytest.fixture
+def clock(autojump_clock):
+    return autojump_clock
+
+
+class Bench:
+    def __init__(self, *records, **limits):
+        self.log = HeldLog(*records)
+        self.links = {}
+        self.dispatcher = Dispatcher(
+            DATA_CENTRE,
+            Epoch(2),
+            self.log,
+            Scheduler(LeastLoaded(), FifoOrdering(), AdmitAll()),
+            SystemCalendar(),
+            DispatcherLimits(endpoint_lease_s=8.0, **limits),
+            self.connect,
+        )
+
+    def connect(self, endpoint, incarnation, url, epoch, owner):
+        link = FakeLink(endpoint, incarnation, url, epoch, owner)
+        self.links[incarnation] = link
+        return link
+
+    @property
+    def link(self):
+        return self.links[E1.incarnation]
+
+
+async def settle():
+    await trio.sleep(0.01)
+
+
+async def test_a_job_cancelled_while_its_starts_commit_is_never_sent(nursery, clock):
+    bench, job = Bench(), a_submission(tasks=2, restart=RestartRule.NEVER)
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    bench.log.open = trio.Event()
+    nursery.start_soon(bench.dispatcher.submit, job)
+    await settle()
+    assert bench.dispatcher.table.jobs[a_job_id(job)].open_tasks == 2
+    nursery.start_soon(bench.dispatcher.cancel, a_job_id(job))
+    await settle()
+    bench.log.open.set()
+    told = await bench.dispatcher.wait(a_job_id(job), 5.0)
+    assert told.code is ResultCode.JOB_CANCELLED
+    assert [task.state for task in told.tasks] == [TaskState.NOT_RUN] * 2
+    assert bench.link.starts == []
+
+
+async def test_a_start_is_not_sent_to_a_later_incarnation(nursery, clock):
+    bench, job = Bench(), a_submission(restart=RestartRule.NEVER)
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    await nursery.start(submitted, bench, job)
+    bench.log.open = trio.Event()
+    bench.dispatcher.resume()
+    later = an_announcement(incarnation="e-1.2")
+    await settle()
+    await bench.dispatcher.announce(later)
+    bench.log.open.set()
+    await settle()
+    sent = [
+        (link.incarnation, start.ref)
+        for link in bench.links.values()
+        for start in link.starts
+    ]
+    assert len(sent) == 1
+    task = bench.dispatcher.table.jobs[a_job_id(job)].tasks[0]
+    assert sent[0] == (task.incarnation, AttemptRef(a_job_id(job), 0, task.attempt))
+
+
+async def submitted(bench, job, task_status):
+    """Submit while paused, so that the job waits."""
+    bench.dispatcher._paused = True
+    task_status.started(await bench.dispatcher.submit(job))
+
+
+async def test_a_failed_commit_stops_everything(clock):
+    bench = Bench()
+    told = []
+
+    async def submit():
+        with pytest.raises(Deposed):
+            told.append(await bench.dispatcher.submit(a_submission()))
+
+    with pytest.RaisesGroup(StorageFailed, flatten_subgroups=True):
+        async with trio.open_nursery() as outer:
+            await outer.start(bench.dispatcher.run)
+            await bench.dispatcher.announce(E1)
+            bench.log.fails = True
+            async with trio.open_nursery() as callers:
+                callers.cancel_scope.shield = True
+                callers.start_soon(submit)
+    assert told == []
+    assert bench.link.starts == []
+
+
+async def test_late_and_foreign_results_change_nothing(nursery, clock):
+    bench, job = Bench(), a_submission(restart=RestartRule.NEVER)
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    await bench.dispatcher.submit(job)
+    await settle()
+    ref = bench.link.starts[0].ref
+    done = ResultLine(1, ref, ResultCode.COMPLETE, "value")
+    foreign = Incarnation("e-1.0")
+    await bench.dispatcher.results_arrived(E1.endpoint, foreign, [done])
+    job_id = a_job_id(job)
+    assert bench.dispatcher.table.jobs[job_id].open_tasks == 1
+    told = await bench.dispatcher.wait(job_id, 30.0)
+    assert told.tasks[0].code is ResultCode.UNKNOWN_ATTEMPT_LOST
+    await bench.link.results(done)
+    assert await bench.dispatcher.wait(job_id, 0.0) == told
+    assert (await bench.dispatcher.announce(E1)).lease_s == 0.0
+
+
+async def test_recovery_finishes_jobs_that_were_doomed_or_over(nursery, clock):
+    doomed, over = a_submission("doomed", tasks=2), a_submission("over")
+    cancelled = a_submission("cancelled")
+    failed = ResultCode.TASK_FAILED
+    bench = Bench(
+        *(accepted(job) for job in (doomed, over, cancelled)),
+        started(a_job_id(doomed)),
+        ended(a_job_id(doomed), code=failed),
+        started(a_job_id(over)),
+        ended(a_job_id(over), value="value"),
+        JobCancelled(a_job_id(cancelled), ResultCode.JOB_CANCELLED),
+    )
+    await nursery.start(bench.dispatcher.run)
+    codes = [
+        (await bench.dispatcher.wait(a_job_id(job), 5.0)).code
+        for job in (doomed, over, cancelled)
+    ]
+    expected = [ResultCode.JOB_FAILED, ResultCode.COMPLETE, ResultCode.JOB_CANCELLED]
+    assert codes == expected
+
+
+@pytest.mark.parametrize("rule", RestartRule)
+async def test_a_successor_starts_again_only_what_was_not_held(nursery, clock, rule):
+    job = a_submission(tasks=2, restart=rule)
+    job_id = a_job_id(job)
+    bench = Bench(accepted(job, FAR_UNIX_S), started(job_id, 0), started(job_id, 1))
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    await settle()
+    assert bench.link.starts == []
+    held = Held(E1.incarnation, Epoch(2), (AttemptRef(job_id, 0, 1),))
+    await bench.dispatcher.attempts_held(E1.endpoint, held)
+    await settle()
+    again = [start.ref for start in bench.link.starts]
+    expected = [] if rule is RestartRule.NEVER else [AttemptRef(job_id, 1, 2)]
+    assert again == expected
+
+
+async def test_a_lease_outlives_no_takeover(nursery, clock):
+    bench = Bench()
+    await nursery.start(bench.dispatcher.run)
+    bench.log.age_s = 1.0
+    assert (await bench.dispatcher.announce(E1)).lease_s == 7.0
+    bench.log.age_s = math.inf
+    told = await bench.dispatcher.announce(E1)
+    assert told.code is ResultCode.NOT_RUN_NO_PRIMARY
+
+
+async def test_a_running_state_is_told_only_once_acceptance_is_durable(nursery, clock):
+    bench, job = Bench(), a_submission()
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    bench.log.open = trio.Event()
+    nursery.start_soon(bench.dispatcher.submit, job)
+    await settle()
+    with trio.move_on_after(5.0) as scope:
+        await bench.dispatcher.wait(a_job_id(job), 1.0)
+    assert scope.cancelled_caught
+    bench.log.open.set()
+    assert isinstance(await bench.dispatcher.wait(a_job_id(job), 1.0), Answer)
+
+
+async def test_answers_are_forgotten_after_they_were_kept(nursery, clock):
+    job = a_submission()
+    job_id = a_job_id(job)
+    bench = Bench(accepted(job), started(job_id), ended(job_id), answer_kept_s=5.0)
+    await nursery.start(bench.dispatcher.run)
+    await trio.sleep(20.0)
+    told = await bench.dispatcher.submit(job)
+    assert told.code is ResultCode.ANSWER_NOT_KEPT
