--- a/currantwell/ids.py
+++ b/currantwell/ids.py
@@ -15,6 +15,7 @@
     "JobId",
     "JobKey",
     "Rack",
+    "StoreId",
     "Team",
     "check_name",
     "home_of",
@@ -30,6 +31,7 @@
 Team = NewType("Team", str)
 JobKey = NewType("JobKey", str)
 JobId = NewType("JobId", str)
+StoreId = NewType("StoreId", str)
 ChangeId = NewType("ChangeId", str)
 Epoch = NewType("Epoch", int)
 
--- /dev/null
+++ b/tests/test_job_copy.py
@@ -0,0 +1,395 @@
+"""Copies of job records under crashes, lost disks, delays and changes of view."""
+
+import dataclasses
+
+import msgspec
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from currantwell.ids import DataCentre, Epoch, HostId, JobId, StoreId
+from currantwell.job_copy import (
+    AppendRecords,
+    CopyOutcome,
+    InstallChunk,
+    JobCopy,
+    Run,
+    StoreMade,
+    ViewJoined,
+    ViewVouched,
+    Vouch,
+)
+from currantwell.job_primary import JobPrimary
+from currantwell.records import JobForgotten, decode_record, encode_record
+from currantwell.views import View
+
+HOSTS = [HostId(name) for name in "abc"]
+DC = DataCentre("valdres")
+TASKS = 4
+host_ids = st.sampled_from(HOSTS)
+
+
+def held(copy):
+    """Return the tasks whose start stands in the copy's log."""
+    rest = copy.runs_after(copy.applied.seq, 1 << 30)
+    records = [decode_record(r) for run in rest for r in run.records if r]
+    return copy.table.forgotten | {record.job for record in records}
+
+
+@dataclasses.dataclass
+class Node:
+    """A host: its disk, and its process while it runs."""
+
+    id: HostId
+    copy_type: type
+    disk: list = dataclasses.field(default_factory=list)
+    stores: int = 0
+    copy: JobCopy | None = None
+    known: View | None = None
+    primary: JobPrimary | None = None
+    open: bool = False
+    first_seq: int = 0
+    sending: dict = dataclasses.field(default_factory=dict)
+
+    def boot(self):
+        self.copy, self.primary, self.known = self.copy_type(), None, None
+        self.open, self.sending = False, {}
+        for change in self.disk:
+            self.copy.apply(change)
+        if not self.disk:
+            self.stores += 1
+            self.write(StoreMade(StoreId(f"{self.id}{self.stores}")))
+
+    def write(self, *changes):
+        self.disk.extend(changes)
+        for change in changes:
+            self.copy.apply(change)
+
+    def compact(self):
+        self.disk = list(self.copy.whole())
+
+
+class World(RuleBasedStateMachine):
+    """Hosts that start tasks at most once, whatever happens to them."""
+
+    copy_type = JobCopy
+    syncs_before_reply = True
+
+    def __init__(self):
+        super().__init__()
+        self.nodes = {host: Node(host, self.copy_type) for host in HOSTS}
+        self.views = []
+        self.network = []
+        self.sent = set()
+        self.actors = {}
+
+    @property
+    def newest(self):
+        return self.views[-1]
+
+    # What hosts do.
+
+    @initialize()
+    def begin(self):
+        for node in self.nodes.values():
+            node.boot()
+        first = self.nodes["a"]
+        view = View(DC, Epoch(1), first.id)
+        first.write(ViewVouched(view))
+        self.views.append(view)
+        self.learn("a")
+        self.start("a", 0)
+        self.add_backup("a", "b")
+
+    def learn(self, host):
+        node, view = self.nodes[host], self.newest
+        if node.copy is None or node.known == view:
+            return
+        node.known, node.primary, node.open = view, None, False
+        node.sending = {}
+        if host == view.primary and node.copy.may_act(view):
+            node.write(ViewJoined(view.number))
+            assert self.actors.setdefault(view.number, node.copy) is node.copy
+            node.primary = JobPrimary(node.copy, view)
+            node.first_seq = node.primary.begin()
+            self.work(node)
+        elif host == view.backup and node.copy.joined < view.number:
+            node.write(ViewJoined(view.number))
+
+    def work(self, node):
+        """Sync, then carry out what is committed."""
+        primary = node.primary
+        if primary is None:
+            return
+        runs = primary.take()
+        node.write(*runs)
+        primary.synced(runs)
+        self.settle(node)
+
+    def settle(self, node):
+        """Send the starts that are committed."""
+        primary = node.primary
+        if primary is None or primary.committed < node.first_seq:
+            return
+        node.open = True
+        for task, seq in list(node.sending.items()):
+            if seq > primary.committed:
+                continue
+            assert task not in self.sent, f"{task} is started twice"
+            self.sent.add(task)
+            del node.sending[task]
+
+    def ask(self, host, to, message):
+        self.network.append((host, to, self.nodes[host].primary, message))
+
+    def propose(self, node, backup):
+        view = node.known
+        if view is None or not node.copy.counts_in(view):
+            return
+        following = View(DC, Epoch(view.number + 1), node.id, backup)
+        node.write(ViewVouched(following))
+        if following.number == self.newest.number + 1:
+            self.views.append(following)
+
+    def deliver_message(self, packet):
+        host, to, primary, message = packet
+        target, sender = self.nodes[to], self.nodes[host]
+        if target.copy is None:
+            return
+        decision = self.decide(target.copy, message)
+        if not self.syncs_before_reply:
+            for change in decision.changes:
+                target.copy.apply(change)
+            kept = [c for c in decision.changes if not isinstance(c, Run)]
+            target.disk.extend(kept)
+        elif decision.replaces:
+            target.disk = []
+            target.write(*decision.changes)
+        else:
+            target.write(*decision.changes)
+        target.copy.apply_to_table(decision.committed)
+        reply = target.copy.reply(decision.outcome)
+        if sender.primary is primary is not None:
+            primary.on_reply(to, message, reply)
+            if primary.deposed:
+                sender.primary = None
+            elif isinstance(message, Vouch) and reply.outcome is CopyOutcome.TAKEN:
+                self.propose(sender, message.following.backup)
+            self.settle(sender)
+
+    @staticmethod
+    def decide(copy, message):
+        if isinstance(message, AppendRecords):
+            return copy.on_append(message)
+        if isinstance(message, InstallChunk):
+            return copy.on_chunk(message)
+        return copy.on_vouch(message)
+
+    # Rules.
+
+    @rule(host=host_ids)
+    def host_learns(self, host):
+        self.learn(host)
+
+    def start(self, host, task):
+        """Start a task unless its start stands in the log."""
+        node, job = self.nodes[host], JobId(str(task))
+        if node.primary is None or not node.open or job in held(node.copy):
+            return
+        if job not in node.sending:
+            node.sending[job] = node.primary.add([encode_record(JobForgotten(job))])
+
+    def sync(self, host):
+        if self.nodes[host].copy is not None:
+            self.work(self.nodes[host])
+
+    @rule(host=host_ids, to=host_ids)
+    def send(self, host, to):
+        primary = self.nodes[host].primary
+        if primary is not None and to in primary.followers:
+            self.ask(host, to, primary.message_for(to))
+
+    @precondition(lambda self: self.network)
+    @rule(index=st.integers(0, 50), keep=st.booleans())
+    def deliver(self, index, keep):
+        """Deliver a message late, out of order, perhaps again later."""
+        index %= len(self.network)
+        packet = self.network[index] if keep else self.network.pop(index)
+        self.deliver_message(packet)
+
+    @rule(host=host_ids, to=host_ids)
+    def exchange(self, host, to):
+        """Bring a copy up to date without delay."""
+        primary = self.nodes[host].primary
+        for _ in range(8):
+            if primary is None or to not in primary.followers:
+                return
+            packet = (host, to, primary, primary.message_for(to))
+            self.deliver_message(packet)
+            primary = self.nodes[host].primary
+
+    @rule(host=host_ids, task=st.integers(0, TASKS - 1))
+    def do_task(self, host, task):
+        """Start a task and bring its intent to the backup."""
+        node = self.nodes[host]
+        self.start(host, task)
+        self.sync(host)
+        if node.primary is not None and node.known.backup is not None:
+            self.exchange(host, node.known.backup)
+
+    @rule(task=st.integers(0, TASKS - 1), stale=st.booleans())
+    def take_over(self, task, stale):
+        """The backup takes over; the primary may not have heard of it."""
+        host = self.newest.backup
+        node = self.nodes[host] if host else None
+        if node is None or node.copy is None or not node.copy.counts_in(self.newest):
+            return
+        old = self.newest.primary
+        self.learn(host)
+        self.propose(node, None)
+        self.learn(host)
+        self.do_task(host, task)
+        if stale:
+            self.do_task(old, (task + 1) % TASKS)
+            self.do_task(host, (task + 1) % TASKS)
+
+    @rule(to=host_ids)
+    def repair(self, to):
+        """The newest primary adds a backup, all messages in time."""
+        host = self.newest.primary
+        if self.nodes[to].copy is None:
+            self.restart(to)
+        self.learn(host)
+        self.exchange(host, to)
+        self.add_backup(host, to)
+        if self.network:
+            self.deliver_message(self.network.pop())
+        self.learn(host)
+        self.learn(to)
+        self.exchange(host, to)
+
+    @rule(host=host_ids)
+    def go_on_alone(self, host):
+        """Drop a backup, or get a number of one's own after a restart."""
+        node = self.nodes[host]
+        if node.copy is not None and node.known and node.known.primary == host:
+            self.propose(node, None)
+
+    @rule(host=host_ids, to=host_ids)
+    def add_backup(self, host, to):
+        node = self.nodes[host]
+        if node.primary is None or host == to or node.known.backup is not None:
+            return
+        node.primary.follow(to)
+        self.exchange(host, to)
+        self.work(node)
+        self.exchange(host, to)
+        primary = node.primary
+        if primary and primary.matches(to, primary.require(to)):
+            following = View(DC, Epoch(node.known.number + 1), host, to)
+            self.ask(host, to, primary.vouch(following))
+
+    @rule(host=host_ids)
+    def crash(self, host):
+        self.nodes[host].copy = self.nodes[host].primary = None
+
+    @rule(host=host_ids)
+    def restart(self, host):
+        if self.nodes[host].copy is None:
+            self.nodes[host].boot()
+
+    @rule(host=host_ids)
+    def lose_disk(self, host):
+        """Lose one disk; another one that counts has to be left."""
+        view = self.newest
+        if host in (view.primary, view.backup):
+            others = {view.primary, view.backup} - {host, None}
+            if not any(ViewVouched(view) in self.nodes[o].disk for o in others):
+                return
+        self.crash(host)
+        self.nodes[host].disk = []
+        self.nodes[host].boot()
+
+    @rule(host=host_ids)
+    def compact(self, host):
+        node = self.nodes[host]
+        if node.copy is not None and not node.copy._incoming:
+            node.compact()
+            primary = node.primary
+            node.copy.trim(primary.keep_from() if primary else node.copy.applied.seq)
+
+    @invariant()
+    def a_host_that_may_act_knows_all_that_was_sent(self):
+        view = self.newest if self.views else None
+        for node in self.nodes.values():
+            if node.copy is not None and view and node.copy.counts_in(view):
+                assert self.sent <= held(node.copy), f"{node.id} has forgotten"
+
+
+class EarlyReply(World):
+    syncs_before_reply = False
+
+
+class TakesOldViews(JobCopy):
+    def on_append(self, message):
+        return super().on_append(self._as_newest(message))
+
+    def on_chunk(self, message):
+        return super().on_chunk(self._as_newest(message))
+
+    def _as_newest(self, message):
+        view = max(message.view, self.joined)
+        return msgspec.structs.replace(message, view=view)
+
+
+class SameEpochAgain(JobCopy):
+    def may_act(self, view):
+        return self.counts_in(view)
+
+
+class EmptyCounts(JobCopy):
+    def counts_in(self, view):
+        return True
+
+
+def variant(copy_type):
+    return type(copy_type.__name__, (World,), {"copy_type": copy_type})
+
+
+def examples(count):
+    return settings(
+        derandomize=True,
+        deadline=None,
+        database=None,
+        max_examples=count,
+        stateful_step_count=25,
+        phases=[Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+
+
+def test_nothing_sent_is_forgotten_or_sent_twice():
+    run_state_machine_as_test(World, settings=examples(300))
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        EarlyReply,
+        variant(TakesOldViews),
+        variant(SameEpochAgain),
+        variant(EmptyCounts),
+    ],
+    ids=lambda wrong: wrong.__name__,
+)
+def test_a_wrong_variant_is_caught(wrong):
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(wrong, settings=examples(1_000))
