--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 
+import msgspec
 import trio
 
 from . import events
@@ -21,6 +22,7 @@
     Announcement,
     AnnouncementReply,
     AttemptRef,
+    Beat,
     Held,
     ResultLine,
     Start,
@@ -69,7 +71,7 @@
     """
 
     endpoint_lease_s: float = 8.0
-    suspect_after_s: float = 1.5
+    suspect_after_s: float = 5.0
     answer_kept_s: float = 86_400.0
 
 
@@ -248,8 +250,8 @@
         process = (announcement.endpoint, announcement.incarnation)
         if process in self._over:
             return AnnouncementReply(LEASE_REFUSED_S, self.epoch)
-        lease_s = self._limits.endpoint_lease_s - self._log.confirmed_age_s()
-        if lease_s <= 0 or self._stopped:
+        lease_s = self._lease_s()
+        if lease_s is None:
             return Refusal(ResultCode.NOT_RUN_NO_PRIMARY, "a newer view may exist")
         known = self._known.get(announcement.endpoint)
         if known is not None and not _same_process(known.announcement, announcement):
@@ -263,6 +265,11 @@
         self._wake.set()
         return AnnouncementReply(lease_s, self.epoch)
 
+    def _lease_s(self) -> float | None:
+        """Return a lease that ends before a successor counts it over, if any."""
+        lease_s = self._limits.endpoint_lease_s - self._log.confirmed_age_s()
+        return None if lease_s <= 0 or self._stopped else lease_s
+
     # What links tell.
 
     async def batch_answered(
@@ -273,6 +280,7 @@
         self._unanswered.difference_update(start.ref for start in batch.starts)
         ended = [AttemptEnded(refused.ref, refused.code) for refused in reply.refused]
         if ended:
+            self._scheduler.endpoint_refused(endpoint)
             await self._end(ended, {})
 
     async def results_arrived(
@@ -300,6 +308,21 @@
         if ended:
             await self._end(ended, {})
 
+    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> float | None:
+        """Take in a sign of life and return the lease granted, in seconds, if any."""
+        known = self._known.get(endpoint)
+        if known is None or known.announcement.incarnation != beat.incarnation:
+            return LEASE_REFUSED_S
+        known.heard_s = now_s()
+        known.announcement = msgspec.structs.replace(
+            known.announcement,
+            running=beat.running,
+            draining=beat.draining,
+            used_processors=beat.used_processors,
+        )
+        self._scheduler.endpoint_announced(known.announcement, now_s())
+        return self._lease_s()
+
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
         """Note whether an endpoint answers."""
         self._scheduler.endpoint_reachable(endpoint, answers)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -9,7 +9,7 @@
 from currantwell.clock import SystemCalendar
 from currantwell.codes import ResultCode
 from currantwell.dispatcher import Dispatcher, DispatcherLimits
-from currantwell.endpoint_protocol import AttemptRef, Held, ResultLine
+from currantwell.endpoint_protocol import AttemptRef, Beat, Held, ResultLine
 from currantwell.errors import Deposed, StorageFailed
 from currantwell.ids import Epoch, Incarnation
 from currantwell.job_log import LocalJobLog
@@ -234,7 +234,10 @@
     await nursery.start(bench.dispatcher.run)
     bench.log.age_s = 1.0
     assert (await bench.dispatcher.announce(E1)).lease_s == 7.0
+    beat = Beat(1, E1.incarnation, 0)
+    assert bench.dispatcher.beat_arrived(E1.endpoint, beat) == 7.0
     bench.log.age_s = math.inf
+    assert bench.dispatcher.beat_arrived(E1.endpoint, beat) is None
     told = await bench.dispatcher.announce(E1)
     assert told.code is ResultCode.NOT_RUN_NO_PRIMARY
 
