Keep jobs on two hosts and take over, hand over and find their owners

Cause: a job lived on one host. Change: ReplicatedJobLog commits on the own copy and the backup's side by side; JobBackup syncs before it answers and refuses older views for good; Roles acts as primary or backup as the views say, takes over a silent primary, drops and rebuilds backups, hands over at SIGTERM; ViewDirectory asks whichever host owns a job and says 'unknown' once an owner fell silent over it. Hosts alone use the same path with one copy.

Found by the runs: a complete job was never told after a recovery, since its code is 0 and was tested for truth; a job accepted while the backup was dying was told with one copy only, so jobs from a recovered tail that may stand on one host are now told of only in a view with a backup.

--- /dev/null
+++ b/currantwell/copy_store.py
@@ -0,0 +1,195 @@
+"""The journal of one host's copy of a data centre's job records.
+
+Every change is synced before it is applied and answered; changes are made one at a
+time. A journal that has grown is replaced by a snapshot.
+"""
+
+import uuid
+from collections.abc import Callable, Sequence
+
+import msgspec
+import trio
+
+from .errors import Deposed
+from .ids import DataCentre, Epoch, StoreId
+from .job_copy import (
+    AppendRecords,
+    BaseRecords,
+    CopyChange,
+    CopyOutcome,
+    CopyReply,
+    Decision,
+    InstallChunk,
+    JobCopy,
+    Run,
+    StoreMade,
+    Vouch,
+)
+from .journal import Journal
+
+__all__ = ["CopyStore", "CopyStores"]
+
+COMPACT_AFTER_RECORDS = 50_000
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[CopyChange] = msgspec.msgpack.Decoder(CopyChange)
+
+
+class CopyStore:
+    """A copy and its journal.
+
+    Parameters
+    ----------
+    journal : Journal
+        Where the changes go.
+    compact_after : int
+        After so many records, and as many as the snapshot has, the journal is
+        replaced by a snapshot.
+    """
+
+    def __init__(
+        self, journal: Journal, compact_after: int = COMPACT_AFTER_RECORDS
+    ) -> None:
+        self.copy = JobCopy()
+        self._journal = journal
+        self._compact_after = compact_after
+        self._since_snapshot = 0
+        self._compact_at = compact_after
+        self._turn = trio.Lock()
+        for data in journal.read():
+            self._apply([_decoder.decode(data)])
+
+    async def prepare(self) -> None:
+        """Give a new store its id.
+
+        Raises
+        ------
+        StorageFailed
+            If the disk refuses.
+        """
+        if not self.copy.store:
+            await self.write([StoreMade(StoreId(uuid.uuid4().hex))])
+
+    async def write(self, changes: Sequence[CopyChange]) -> None:
+        """Sync changes, then apply them.
+
+        Raises
+        ------
+        StorageFailed
+            If the disk refuses.
+        """
+        with trio.CancelScope(shield=True):
+            async with self._turn:
+                await self._write(changes)
+
+    async def write_as(self, view: Epoch, changes: Sequence[CopyChange]) -> None:
+        """Sync and apply changes of the primary of a view.
+
+        Raises
+        ------
+        Deposed
+            If the copy has joined a newer view.
+        StorageFailed
+            If the disk refuses.
+        """
+        with trio.CancelScope(shield=True):
+            async with self._turn:
+                if self.copy.joined > view:
+                    raise Deposed(f"view {self.copy.joined} follows view {view}")
+                await self._write(changes)
+
+    async def answer(self, message: AppendRecords | InstallChunk | Vouch) -> CopyReply:
+        """Decide on a message of a primary and carry the decision out.
+
+        Raises
+        ------
+        StorageFailed
+            If the disk refuses.
+        """
+        with trio.CancelScope(shield=True):
+            async with self._turn:
+                decision = self._decide(message)
+                if decision.replaces:
+                    self._replace(decision.changes)
+                elif decision.changes:
+                    await self._write(decision.changes)
+                if decision.outcome is CopyOutcome.TAKEN:
+                    self.copy.apply_to_table(decision.committed)
+        return self.copy.reply(decision.outcome)
+
+    async def compact(self, keep_from: int) -> bool:
+        """Replace a journal that has grown by a snapshot; tell whether it was.
+
+        Parameters
+        ----------
+        keep_from : int
+            Records after this number stay in memory for other copies.
+        """
+        if self._since_snapshot < self._compact_at:
+            return False
+        async with self._turn:
+            whole = list(self.copy.whole())
+            self._journal.replace([_encoder.encode(change) for change in whole])
+            self.copy.trim(keep_from)
+            parts = [part for part in whole if isinstance(part, BaseRecords)]
+            size = sum(len(part.records) for part in parts)
+            self._compact_at = max(self._compact_after, size)
+            self._since_snapshot = 0
+        return True
+
+    def close(self) -> None:
+        """Let go of the journal."""
+        self._journal.close()
+
+    def _decide(self, message: AppendRecords | InstallChunk | Vouch) -> Decision:
+        match message:
+            case AppendRecords():
+                return self.copy.on_append(message)
+            case InstallChunk():
+                return self.copy.on_chunk(message)
+            case Vouch():
+                return self.copy.on_vouch(message)
+
+    async def _write(self, changes: Sequence[CopyChange]) -> None:
+        await self._journal.append([_encoder.encode(change) for change in changes])
+        self._apply(changes)
+
+    def _replace(self, changes: Sequence[CopyChange]) -> None:
+        self._journal.replace([_encoder.encode(change) for change in changes])
+        self._since_snapshot = 0
+        self._apply(changes)
+
+    def _apply(self, changes: Sequence[CopyChange]) -> None:
+        for change in changes:
+            self.copy.apply(change)
+            if isinstance(change, Run):
+                self._since_snapshot += len(change.records)
+
+
+class CopyStores:
+    """The copies that a host holds, by data centre.
+
+    Parameters
+    ----------
+    open_journal : callable
+        Opens the journal of a name.
+    """
+
+    def __init__(self, open_journal: Callable[[str], Journal]) -> None:
+        self._open_journal = open_journal
+        self._stores: dict[DataCentre, CopyStore] = {}
+        self._turn = trio.Lock()
+
+    async def get(self, data_centre: DataCentre) -> CopyStore:
+        """Return the copy of a data centre's records, made if there is none."""
+        async with self._turn:
+            if data_centre not in self._stores:
+                store = CopyStore(self._open_journal(f"jobs-{data_centre}"))
+                await store.prepare()
+                self._stores[data_centre] = store
+            return self._stores[data_centre]
+
+    def close(self) -> None:
+        """Let go of all journals."""
+        for store in self._stores.values():
+            store.close()
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -142,6 +142,7 @@
         self._wake = trio.Event()
         self._accepted: dict[JobId, trio.Event] = {}
         self._answered: dict[JobId, trio.Event] = {}
+        self._any_answered = trio.Event()
         self._lost: dict[tuple[EndpointId, Incarnation], float] = {}
         self._over: set[tuple[EndpointId, Incarnation]] = set()
         self._nursery: trio.Nursery | None = None
@@ -227,12 +228,23 @@
                 await self._answered[job].wait()
         return self._answer(job)
 
+    def has_ended(self, job: JobId) -> bool:
+        """Tell whether `wait` would return the answer of a job at once."""
+        answered = self._answered.get(job)
+        return answered is None or answered.is_set()
+
+    async def wait_any_end(self) -> None:
+        """Return once any job has ended."""
+        with self._unless_stopped():
+            await self._any_answered.wait()
+
     async def cancel(self, job: JobId) -> Answer | Refusal:
         """Start nothing more of a job and stop what runs."""
         if job not in self.table.jobs:
             return self._no_job(job)
         with self._unless_stopped():
             await self._cancel(job, ResultCode.JOB_CANCELLED)
+            await self._accepted[job].wait()
         return self._answer(job)
 
     async def explain(self, job: JobId) -> list[str] | Refusal:
@@ -424,6 +436,8 @@
     async def _show_answer(self, job: JobId, committed: trio.Event) -> None:
         await committed.wait()
         self._answered[job].set()
+        self._any_answered.set()
+        self._any_answered = trio.Event()
 
     # Attempts.
 
@@ -610,9 +624,13 @@
     def _recover(self) -> None:
         self.table.apply_all(self._log.recover())
         now = now_s()
+        unconfirmed = self._log.unconfirmed_jobs()
         for job in self.table.jobs.values():
-            self._accepted[job.id] = _set_event()
-            self._answered[job.id] = _set_event() if job.code else trio.Event()
+            sure = job.id not in unconfirmed
+            self._accepted[job.id] = _set_event() if sure else trio.Event()
+            self._answered[job.id] = (
+                _set_event() if job.code is not None else trio.Event()
+            )
             if job.code is None:
                 self._requeue(job, now)
 
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -81,3 +81,30 @@
 STORAGE_FAILED = _event(
     400, "storage_failed", Level.ERROR, "A disk refused; the host stops."
 )
+PRIMARY_STARTED = _event(
+    700, "primary_started", Level.INFO, "This host runs the jobs of a data centre."
+)
+TAKEOVER_PROPOSED = _event(
+    701,
+    "takeover_proposed",
+    Level.WARNING,
+    "The primary is silent; this host, its backup, proposes to take over.",
+)
+BACKUP_DROPPED = _event(
+    702,
+    "backup_dropped",
+    Level.WARNING,
+    "The backup is silent, leaves or lost its copy; the primary goes on without it.",
+)
+BACKUP_ADDED = _event(
+    703, "backup_added", Level.INFO, "Another host holds a whole copy of all jobs."
+)
+COPY_NOT_WHOLE = _event(
+    704,
+    "copy_not_whole",
+    Level.ERROR,
+    "The view names this host, but its disk does not hold what that takes; it waits.",
+)
+HANDED_OVER = _event(
+    705, "handed_over", Level.INFO, "This host stops; its backup runs the jobs now."
+)
--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -8,21 +8,24 @@
 
 from . import events
 from .clock import SystemCalendar
+from .copy_store import CopyStores
 from .dispatcher import Dispatcher, DispatcherLimits
+from .errors import SettingsInvalid
 from .http_api import HttpApi
 from .http_server import HttpServer, bind
-from .ids import Epoch
-from .job_log import LocalJobLog
+from .ids import DataCentre, Epoch
+from .job_log import JobLog
+from .job_services import JobServices, views_of_one_host
 from .journal import DiskJournal, Journal, MemoryJournal
-from .kernel import Kernel
-from .router import Router, StaticDirectory
+from .kernel import Kernel, Service
+from .peers import NoPeers, Peers
+from .router import Router
 from .scheduler import AdmitAll, FifoOrdering, LeastLoaded, Scheduler
 from .settings import HostSettings
+from .views import ViewSource
 
 __all__ = ["Host", "run_host"]
 
-EPOCH_BYTES = 8
-
 
 class Host:
     """One entry host.
@@ -31,32 +34,43 @@
     ----------
     settings : HostSettings
         Its settings.
+    views : ViewSource or None
+        The agreed views; None for a host that is alone.
     """
 
-    def __init__(self, settings: HostSettings) -> None:
+    def __init__(self, settings: HostSettings, views: ViewSource | None = None) -> None:
         self.settings = settings
         self.kernel = Kernel(settings.drain_timeout_s)
-        self.dispatcher: Dispatcher | None = None
         self.address: tuple[str, int] | None = None
+        self._views = views
+        self._jobs: JobServices | None = None
         self._api: HttpApi | None = None
 
+    @property
+    def dispatcher(self) -> Dispatcher | None:
+        """The dispatcher of this host's data centre, if this host runs it."""
+        if self._jobs is None:
+            return None
+        return self._jobs.roles.dispatcher(self.settings.data_centre)
+
     async def run(self, task_status: trio.TaskStatus[None]) -> bool:
         """Serve until stopped; return whether it drained in time."""
-        epoch = await self._next_epoch()
-        self.dispatcher = Dispatcher(
-            self.settings.data_centre,
-            epoch,
-            LocalJobLog(self._journal("jobs")),
-            Scheduler(LeastLoaded(), FifoOrdering(), AdmitAll()),
-            SystemCalendar(),
-            DispatcherLimits(endpoint_lease_s=self.settings.endpoint_lease_s),
-        )
-        router = Router(StaticDirectory({self.settings.data_centre: self.dispatcher}))
-        self._api = api = HttpApi(self.settings.data_centre, router, self.dispatcher)
-        listener = bind(self.settings.address, self.settings.http_port)
-        server = HttpServer(api.app(), listener, self.settings.drain_timeout_s)
+        own = self.settings
+        peers = self._peers()
+        views, stores = self._views, CopyStores(self._journal)
+        if views is None:
+            views, stores = await views_of_one_host(own, self._journal)
+        self._jobs = JobServices(own, views, stores, peers, self._make_dispatcher)
+        directory = self._jobs.directory
+        router = Router(directory)
+        gateway = directory.gateway(own.data_centre)
+        self._api = api = HttpApi(own.data_centre, router, gateway)
+        listener = bind(own.address, own.http_port)
+        server = HttpServer(api.app(), listener, own.drain_timeout_s)
         self.address = server.address
-        for service in (server, router, self.dispatcher):
+        network: list[Service] = [peers] if isinstance(peers, Peers) else []
+        first, last = self._jobs.first(), self._jobs.last()
+        for service in (*network, *first, server, router, *last):
             self.kernel.register(service)
         return await self.kernel.run(task_status)
 
@@ -67,13 +81,29 @@
             self._api.ready = False
         self.kernel.stop()
 
-    async def _next_epoch(self) -> Epoch:
-        journal = self._journal("epoch")
-        earlier = list(journal.read())
-        epoch = int.from_bytes(earlier[-1], "big") + 1 if earlier else 1
-        await journal.append([epoch.to_bytes(EPOCH_BYTES, "big")])
-        journal.close()
-        return Epoch(epoch)
+    def _make_dispatcher(
+        self, data_centre: DataCentre, epoch: Epoch, log: JobLog
+    ) -> Dispatcher:
+        return Dispatcher(
+            data_centre,
+            epoch,
+            log,
+            Scheduler(LeastLoaded(), FifoOrdering(), AdmitAll()),
+            SystemCalendar(),
+            DispatcherLimits(endpoint_lease_s=self.settings.endpoint_lease_s),
+        )
+
+    def _peers(self) -> Peers | NoPeers:
+        own = self.settings
+        if own.peer_address is None:
+            return NoPeers()
+        if self._views is None:
+            raise SettingsInvalid(["hosts with peers need agreed views"])
+        if own.key_file is None:
+            raise SettingsInvalid(["hosts with peers need a key_file"])
+        addresses = {host: peer.address for host, peer in own.peers.items()}
+        key = own.key_file.read_bytes()
+        return Peers(own.host, own.peer_address, addresses, key)
 
     def _journal(self, name: str) -> Journal:
         folder = self.settings.data_folder
@@ -83,7 +113,7 @@
         return DiskJournal(folder / f"{name}.journal")
 
 
-async def run_host(settings: HostSettings) -> bool:
+async def run_host(settings: HostSettings, views: ViewSource | None = None) -> bool:
     """Run a host until SIGTERM or SIGINT; print its address when it serves.
 
     Returns
@@ -91,7 +121,7 @@
     bool
         Whether it drained in time.
     """
-    host = Host(settings)
+    host = Host(settings, views)
     drained = False
 
     async def serve(task_status: trio.TaskStatus[None]) -> None:
--- a/currantwell/job_copy.py
+++ b/currantwell/job_copy.py
@@ -20,7 +20,7 @@
 from .ids import DataCentre, Epoch, StoreId
 from .jobs import JobTable
 from .peers import PeerMessage
-from .records import decode_record, encode_record
+from .records import Record, decode_record, encode_record
 from .views import View
 
 __all__ = [
@@ -244,6 +244,12 @@
             end += 1
         return tuple(_runs(self._views[start:end], self._records[start:end], seq + 1))
 
+    def unapplied(self) -> Iterator[Record]:
+        """Yield the records that are not known to be committed."""
+        for record in self._records[self.applied.seq - self.base.seq :]:
+            if record != NOTHING:
+                yield decode_record(record)
+
     # Changes.
 
     def apply(self, change: CopyChange) -> None:
--- a/currantwell/job_log.py
+++ b/currantwell/job_log.py
@@ -6,6 +6,7 @@
 import trio
 
 from .errors import StorageFailed
+from .ids import JobId
 from .journal import Journal
 from .records import Record, decode_record, encode_record
 
@@ -23,6 +24,10 @@
         """Tell whether fewer hosts hold a copy than a new job needs."""
         ...
 
+    def unconfirmed_jobs(self) -> frozenset[JobId]:
+        """Return recovered jobs that too few hosts may hold to tell of them."""
+        ...
+
     def confirmed_age_s(self) -> float:
         """Return how long ago it was certain that no newer view had taken over."""
         ...
@@ -66,6 +71,10 @@
         """One copy is enough."""
         return False
 
+    def unconfirmed_jobs(self) -> frozenset[JobId]:
+        """One copy is enough."""
+        return frozenset()
+
     def confirmed_age_s(self) -> float:
         """No one else can take over."""
         return 0.0
--- a/currantwell/job_primary.py
+++ b/currantwell/job_primary.py
@@ -163,9 +163,15 @@
         self.required.add(host)
         return self._last_seq
 
-    def vouch(self, following: View) -> Vouch:
-        """Return the voucher for the copies of a view about to be proposed."""
-        at = self.copy.last
+    def vouch(self, host: HostId, following: View) -> Vouch:
+        """Return the voucher for a host's copy in a view about to be proposed.
+
+        The copy is waited for since `require`, so that all that was told stands
+        before the position named.
+        """
+        follower = self.followers[host]
+        at = self.copy.position_at(min(follower.matched, self.copy.last.seq))
+        assert at is not None
         return Vouch(self.view.data_centre, self.view.number, following, at)
 
     def keep_from(self) -> int:
--- a/currantwell/peers.py
+++ b/currantwell/peers.py
@@ -21,7 +21,7 @@
 from .ids import HostId
 from .kernel import ServiceName
 
-__all__ = ["PeerHandler", "PeerMessage", "PeerNetwork", "Peers"]
+__all__ = ["NoPeers", "PeerHandler", "PeerMessage", "PeerNetwork", "Peers"]
 
 DIGEST_BYTES = 32
 CONCURRENT_REQUESTS = 64
@@ -62,6 +62,23 @@
         ...
 
 
+class NoPeers:
+    """The network of a host that is alone."""
+
+    async def ask(
+        self,
+        host: HostId,
+        message: PeerMessage,
+        reply: type[Reply],
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> Reply:
+        """Raise `PeerUnreachable`."""
+        raise PeerUnreachable(f"{host}: this host has no peers")
+
+    def handle(self, message: type[PeerMessage], handler: PeerHandler) -> None:
+        """Take a handler that no one will call."""
+
+
 class _Frame(msgspec.Struct, frozen=True, array_like=True):
     """What travels: who sends what."""
 
--- /dev/null
+++ b/currantwell/remote_gateway.py
@@ -0,0 +1,440 @@
+"""Jobs owned by another host: asked over peers, followed through changes of view.
+
+A submission that may have reached an owner is never told as not run: once an owner
+has fallen silent over it, a later refusal of another owner says nothing of the first.
+"""
+
+import contextlib
+import enum
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+from typing import Any, Protocol
+
+import msgspec
+import trio
+
+from .answers import Answer, Refusal
+from .clock import now_s
+from .codes import ResultCode, is_not_run
+from .dispatcher import Dispatcher
+from .endpoint_protocol import Announcement, AnnouncementReply
+from .errors import Deposed, PeerUnreachable
+from .ids import DataCentre, HostId, JobId
+from .kernel import ServiceName
+from .peers import PeerMessage, PeerNetwork
+from .submission import Submission
+from .views import ViewSource
+
+__all__ = [
+    "AskEnded",
+    "AskOwner",
+    "EndNoted",
+    "Ended",
+    "FollowingGateway",
+    "OwnerOutcome",
+    "OwnerTold",
+    "Owners",
+    "ViewDirectory",
+]
+
+ASK_TIMEOUT_S = 2.0
+FOLLOW_S = 6.0
+ANNOUNCE_FOLLOW_S = 0.8
+RETRY_PAUSE_S = 0.05
+POLL_S = 0.5
+
+
+class Owners(Protocol):
+    """Knows the dispatchers that run on this host."""
+
+    def dispatcher(self, data_centre: DataCentre) -> Dispatcher | None:
+        """Return the dispatcher that this host runs for a data centre, if any."""
+        ...
+
+
+class OwnerOutcome(enum.Enum):
+    """What became of a request to an owner."""
+
+    TOLD = "told"
+    REFUSED = "refused"
+    NOT_OWNER = "not_owner"
+    LOST = "lost"
+
+
+class AskOwner(PeerMessage, frozen=True):
+    """A call of a method of `JobGateway` on the owner."""
+
+    data_centre: DataCentre
+    method: str
+    arguments: msgspec.Raw
+
+
+class OwnerTold(PeerMessage, frozen=True):
+    """What the owner returned; ``NOT_OWNER`` says that it did nothing."""
+
+    outcome: OwnerOutcome
+    value: msgspec.Raw = msgspec.Raw(b"\xc0")
+
+
+class AskEnded(PeerMessage, frozen=True):
+    """Asks which jobs have ended, and to be told of the others when they do."""
+
+    data_centre: DataCentre
+    jobs: tuple[JobId, ...]
+
+
+class Ended(PeerMessage, frozen=True):
+    """The jobs that have ended or are not known; an answer, or a note later."""
+
+    data_centre: DataCentre
+    outcome: OwnerOutcome
+    jobs: tuple[JobId, ...] = ()
+
+
+class EndNoted(PeerMessage, frozen=True):
+    """A note of ended jobs has arrived."""
+
+
+_ARGUMENTS: dict[str, Any] = {
+    "submit": tuple[Submission],
+    "wait": tuple[JobId, float],
+    "cancel": tuple[JobId],
+    "explain": tuple[JobId],
+    "announce": tuple[Announcement],
+    "endpoints": tuple[()],
+}
+_RESULTS: dict[str, Any] = {
+    "submit": Answer,
+    "wait": Answer,
+    "cancel": Answer,
+    "explain": list[str],
+    "announce": AnnouncementReply,
+    "endpoints": list[Announcement],
+}
+
+
+class _NotOwner(Exception):
+    """The host asked did nothing, since it owns no jobs of the data centre."""
+
+
+class ViewDirectory:
+    """The owners of all data centres by the newest views; serves other hosts too.
+
+    Parameters
+    ----------
+    host : HostId
+        This host.
+    views : ViewSource
+        Who is primary.
+    owners : Owners
+        The dispatchers of this host.
+    peers : PeerNetwork
+        Reaches the other hosts.
+    data_centres : set of DataCentre
+        Every data centre known from the settings.
+    """
+
+    name = ServiceName("directory")
+
+    def __init__(
+        self,
+        host: HostId,
+        views: ViewSource,
+        owners: Owners,
+        peers: PeerNetwork,
+        data_centres: frozenset[DataCentre] = frozenset(),
+    ) -> None:
+        self._host = host
+        self._data_centres = data_centres
+        self._views = views
+        self._owners = owners
+        self._peers = peers
+        self._gateways: dict[DataCentre, FollowingGateway] = {}
+        self._watched: dict[DataCentre, dict[HostId, set[JobId]]] = {}
+        self._nursery: trio.Nursery | None = None
+        peers.handle(AskOwner, self._serve)
+        peers.handle(AskEnded, self._serve_ended)
+        peers.handle(Ended, self._take_ended)
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Follow the jobs that are waited for, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for gateway in self._gateways.values():
+                nursery.start_soon(gateway.run)
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def drain(self) -> None:
+        """Have nothing to finish."""
+
+    def data_centres(self) -> frozenset[DataCentre]:
+        """Return every data centre there is."""
+        return self._views.data_centres() | self._data_centres
+
+    def gateway(self, data_centre: DataCentre) -> "FollowingGateway":
+        """Return a gateway to whichever host owns a data centre's jobs."""
+        gateway = self._gateways.get(data_centre)
+        if gateway is None:
+            gateway = FollowingGateway(
+                data_centre, self._host, self._views, self._owners, self._peers
+            )
+            self._gateways[data_centre] = gateway
+            if self._nursery is not None:
+                self._nursery.start_soon(gateway.run)
+        return gateway
+
+    async def _serve(self, sender: HostId, request: AskOwner) -> OwnerTold:
+        dispatcher = self._owners.dispatcher(request.data_centre)
+        if dispatcher is None or request.method not in _ARGUMENTS:
+            return OwnerTold(OwnerOutcome.NOT_OWNER)
+        arguments = msgspec.msgpack.decode(
+            request.arguments, type=_ARGUMENTS[request.method]
+        )
+        try:
+            told = await getattr(dispatcher, request.method)(*arguments)
+        except Deposed:
+            return OwnerTold(OwnerOutcome.LOST)
+        refused = isinstance(told, Refusal)
+        outcome = OwnerOutcome.REFUSED if refused else OwnerOutcome.TOLD
+        return OwnerTold(outcome, msgspec.Raw(msgspec.msgpack.encode(told)))
+
+    async def _serve_ended(self, sender: HostId, request: AskEnded) -> Ended:
+        data_centre = request.data_centre
+        dispatcher = self._owners.dispatcher(data_centre)
+        if dispatcher is None:
+            return Ended(data_centre, OwnerOutcome.NOT_OWNER)
+        ended = tuple(job for job in request.jobs if dispatcher.has_ended(job))
+        if data_centre not in self._watched and self._nursery is not None:
+            self._nursery.start_soon(self._note_loop, data_centre)
+        watched = self._watched.setdefault(data_centre, {})
+        watched.setdefault(sender, set()).update(set(request.jobs) - set(ended))
+        return Ended(data_centre, OwnerOutcome.TOLD, ended)
+
+    async def _note_loop(self, data_centre: DataCentre) -> None:
+        """Tell other hosts of the ends of the jobs that they watch."""
+        while True:
+            dispatcher = self._owners.dispatcher(data_centre)
+            if dispatcher is None:
+                self._watched[data_centre].clear()
+                await trio.sleep(POLL_S)
+                continue
+            notes = list(self._notes(data_centre, dispatcher))
+            if not notes:
+                with contextlib.suppress(Deposed):
+                    await dispatcher.wait_any_end()
+            async with trio.open_nursery() as nursery:
+                for host, note in notes:
+                    nursery.start_soon(self._note, host, note)
+
+    def _notes(
+        self, data_centre: DataCentre, dispatcher: Dispatcher
+    ) -> Iterator[tuple[HostId, Ended]]:
+        for host, jobs in self._watched[data_centre].items():
+            ended = tuple(job for job in jobs if dispatcher.has_ended(job))
+            jobs.difference_update(ended)
+            if ended:
+                yield host, Ended(data_centre, OwnerOutcome.TOLD, ended)
+
+    async def _note(self, host: HostId, note: Ended) -> None:
+        """Send a note; a host that misses it asks again."""
+        with contextlib.suppress(PeerUnreachable):
+            await self._peers.ask(host, note, EndNoted, POLL_S)
+
+    async def _take_ended(self, sender: HostId, note: Ended) -> EndNoted:
+        if note.data_centre in self._gateways:
+            self._gateways[note.data_centre].release(note.jobs)
+        return EndNoted()
+
+
+class FollowingGateway:
+    """Asks whichever host owns a data centre's jobs now.
+
+    Parameters
+    ----------
+    data_centre : DataCentre
+        The data centre.
+    host : HostId
+        This host.
+    views : ViewSource
+        Who is primary.
+    owners : Owners
+        The dispatchers of this host.
+    peers : PeerNetwork
+        Reaches the other hosts.
+    """
+
+    def __init__(
+        self,
+        data_centre: DataCentre,
+        host: HostId,
+        views: ViewSource,
+        owners: Owners,
+        peers: PeerNetwork,
+    ) -> None:
+        self._data_centre = data_centre
+        self._host = host
+        self._views = views
+        self._owners = owners
+        self._peers = peers
+        self._awaited: dict[JobId, list[trio.Event]] = {}
+        self._fresh: set[JobId] = set()
+        self._awaits = trio.Event()
+
+    async def submit(self, submission: Submission) -> Answer | Refusal:
+        """Accept a job, or find the one that has the same key.
+
+        Raises
+        ------
+        PeerUnreachable
+            If no owner answered; whether the job was accepted is unknown.
+        """
+        told: Answer | Refusal = await self._call("submit", submission)
+        return told
+
+    async def wait(self, job: JobId, timeout_s: float) -> Answer | Refusal:
+        """Return the answer of a job, or its state once the time is up.
+
+        Raises
+        ------
+        PeerUnreachable
+            If no owner answered.
+        """
+        until_s = now_s() + timeout_s
+        told: Answer | Refusal = await self._call("wait", job, 0.0)
+        while told.code is ResultCode.RUNNING and now_s() < until_s:
+            await self._ended(job, until_s - now_s())
+            told = await self._call("wait", job, 0.0)
+        return told
+
+    async def cancel(self, job: JobId) -> Answer | Refusal:
+        """Start nothing more of a job and stop what runs."""
+        told: Answer | Refusal = await self._call("cancel", job)
+        return told
+
+    async def explain(self, job: JobId) -> list[str] | Refusal:
+        """Say why the tasks of a job stand where they stand."""
+        told: list[str] | Refusal = await self._call("explain", job)
+        return told
+
+    async def announce(self, announcement: Announcement) -> AnnouncementReply | Refusal:
+        """Pass an endpoint's announcement on to the primary."""
+        told: AnnouncementReply | Refusal = await self._call(
+            "announce", announcement, follow_s=ANNOUNCE_FOLLOW_S
+        )
+        return told
+
+    async def endpoints(self) -> list[Announcement] | Refusal:
+        """Return what all known endpoints last said of themselves."""
+        told: list[Announcement] | Refusal = await self._call("endpoints")
+        return told
+
+    async def run(self) -> None:
+        """Ask remote owners which of the jobs waited for here have ended."""
+        while True:
+            awaits = self._awaits
+            if not self._awaited:
+                await awaits.wait()
+            jobs, self._fresh = self._fresh, set()
+            await self._poll(tuple(jobs or self._awaited))
+            if not self._fresh:
+                with trio.move_on_after(POLL_S):
+                    await self._awaits.wait()
+
+    def release(self, jobs: Sequence[JobId]) -> None:
+        """Wake those who wait for jobs that have ended."""
+        for job in jobs:
+            for ended in self._awaited.pop(job, []):
+                ended.set()
+
+    # Calls.
+
+    async def _call(
+        self, method: str, *arguments: Any, follow_s: float = FOLLOW_S
+    ) -> Any:
+        """Call a method of the owner, or of its successor if it falls silent."""
+        in_doubt: Exception | None = None
+        with trio.move_on_after(follow_s):
+            while True:
+                try:
+                    told = await self._call_once(method, arguments)
+                    return _in_doubt(told, in_doubt)
+                except _NotOwner:
+                    pass
+                except (Deposed, PeerUnreachable) as error:
+                    in_doubt = error
+                await trio.sleep(RETRY_PAUSE_S)
+        raise PeerUnreachable(
+            f"no owner of {self._data_centre} answered: {in_doubt or 'none is known'}"
+        )
+
+    async def _call_once(self, method: str, arguments: tuple[Any, ...]) -> Any:
+        view = self._views.view(self._data_centre)
+        if view is None:
+            raise _NotOwner
+        if view.primary != self._host:
+            return await self._ask(view.primary, method, arguments)
+        dispatcher = self._owners.dispatcher(self._data_centre)
+        if dispatcher is None:
+            raise _NotOwner
+        call: Callable[..., Awaitable[Any]] = getattr(dispatcher, method)
+        return await call(*arguments)
+
+    async def _ask(self, owner: HostId, method: str, arguments: tuple[Any, ...]) -> Any:
+        body = msgspec.Raw(msgspec.msgpack.encode(arguments))
+        request = AskOwner(self._data_centre, method, body)
+        told = await self._peers.ask(owner, request, OwnerTold, ASK_TIMEOUT_S)
+        match told.outcome:
+            case OwnerOutcome.NOT_OWNER:
+                raise _NotOwner
+            case OwnerOutcome.LOST:
+                raise PeerUnreachable(f"{owner} was taken over")
+            case OwnerOutcome.REFUSED:
+                return msgspec.msgpack.decode(told.value, type=Refusal)
+        return msgspec.msgpack.decode(told.value, type=_RESULTS[method])
+
+    # Waits.
+
+    async def _ended(self, job: JobId, timeout_s: float) -> None:
+        """Return once a job may have ended, or the time is up."""
+        dispatcher = self._owners.dispatcher(self._data_centre)
+        if dispatcher is not None:
+            try:
+                await dispatcher.wait(job, timeout_s)
+            except Deposed:
+                await trio.sleep(RETRY_PAUSE_S)
+            return
+        ended = trio.Event()
+        self._awaited.setdefault(job, []).append(ended)
+        self._fresh.add(job)
+        self._awaits.set()
+        self._awaits = trio.Event()
+        try:
+            with trio.move_on_after(timeout_s):
+                await ended.wait()
+        finally:
+            waiters = self._awaited.get(job, [])
+            if ended in waiters:
+                waiters.remove(ended)
+            if not waiters:
+                self._awaited.pop(job, None)
+
+    async def _poll(self, jobs: tuple[JobId, ...]) -> None:
+        view = self._views.view(self._data_centre)
+        if view is None:
+            return
+        if view.primary == self._host:
+            self.release(jobs)
+            return
+        request = AskEnded(self._data_centre, jobs)
+        with contextlib.suppress(PeerUnreachable):
+            reply = await self._peers.ask(view.primary, request, Ended)
+            if reply.outcome is OwnerOutcome.TOLD:
+                self.release(reply.jobs)
+
+
+def _in_doubt(told: Any, doubt: Exception | None) -> Any:
+    """Keep a refusal from saying "not run" of what an earlier owner may have taken."""
+    if doubt is None or not isinstance(told, Refusal) or not is_not_run(told.code):
+        return told
+    detail = f"{told.code.name} now, but an earlier try may have been taken: {doubt}"
+    return Refusal(ResultCode.UNKNOWN_OWNER_UNREACHABLE, detail)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -14,7 +14,7 @@
 from currantwell.ids import Epoch, Incarnation
 from currantwell.job_log import LocalJobLog
 from currantwell.journal import MemoryJournal
-from currantwell.records import JobCancelled, encode_record
+from currantwell.records import JobCancelled, JobClosed, encode_record
 from currantwell.scheduler import AdmitAll, FifoOrdering, LeastLoaded, Scheduler
 from currantwell.submission import RestartRule
 from tests.builders import (
@@ -256,6 +256,15 @@
     assert isinstance(await bench.dispatcher.wait(a_job_id(job), 1.0), Answer)
 
 
+async def test_a_complete_job_is_told_at_once_after_recovery(nursery, clock):
+    job = a_submission()
+    job_id = a_job_id(job)
+    closed = JobClosed(job_id, ResultCode.COMPLETE)
+    bench = Bench(accepted(job), started(job_id), ended(job_id, value="v"), closed)
+    await nursery.start(bench.dispatcher.run)
+    assert (await bench.dispatcher.wait(job_id, 0.0)).results == ("v",)
+
+
 async def test_answers_are_forgotten_after_they_were_kept(nursery, clock):
     job = a_submission()
     job_id = a_job_id(job)
--- a/tests/test_job_copy.py
+++ b/tests/test_job_copy.py
@@ -295,7 +295,7 @@
         primary = node.primary
         if primary and primary.matches(to, primary.require(to)):
             following = View(DC, Epoch(node.known.number + 1), host, to)
-            self.ask(host, to, primary.vouch(following))
+            self.ask(host, to, primary.vouch(to, following))
 
     @rule(host=host_ids)
     def crash(self, host):
--- /dev/null
+++ b/tests/test_replicated_job_log.py
@@ -0,0 +1,133 @@
+"""The replicated job log over copies in memory and a network that may fall silent."""
+
+import pytest
+import trio
+
+from currantwell.copy_store import CopyStores
+from currantwell.errors import Deposed, PeerUnreachable
+from currantwell.ids import Epoch, HostId
+from currantwell.job_backup import JobBackup
+from currantwell.job_copy import ViewJoined, ViewVouched
+from currantwell.journal import MemoryJournal
+from currantwell.replicated_job_log import ReplicatedJobLog
+from currantwell.views import View, ViewTable
+from tests.builders import DATA_CENTRE, a_submission, accepted
+
+A, B = HostId("a"), HostId("b")
+VIEW = View(DATA_CENTRE, Epoch(2), A, B)
+
+
+class Network:
+    """Carries the requests of host A to host B."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.silent = False
+
+    def handle(self, message, handler):
+        self.handlers[message] = handler
+
+    async def ask(self, host, message, reply, timeout_s=1.0):
+        await trio.sleep(timeout_s if self.silent else 0.001)
+        if self.silent:
+            raise PeerUnreachable(host)
+        return await self.handlers[type(message)](A, message)
+
+
+class Pair:
+    def __init__(self):
+        self.network = Network()
+        self.stores = {h: CopyStores(lambda name: MemoryJournal()) for h in (A, B)}
+        self.views = ViewTable(VIEW)
+        JobBackup(self.stores[B], self.views).attach(self.network)
+
+    async def store(self, host, counts=True):
+        store = await self.stores[host].get(DATA_CENTRE)
+        if counts:
+            await store.write([ViewVouched(VIEW)])
+        return store
+
+    async def log(self, nursery, view=VIEW, copies=2):
+        store = await self.store(A)
+        await store.write([ViewJoined(view.number)])
+        log = ReplicatedJobLog(view, store, self.network, copies)
+        await nursery.start(log.run)
+        return log
+
+
+def jobs_of(store):
+    return [job.submission.key for job in store.copy.table.jobs.values()]
+
+
+async def test_a_record_is_committed_only_with_the_backup(nursery, autojump_clock):
+    pair = Pair()
+    backup = await pair.store(B)
+    log = await pair.log(nursery)
+    pair.network.silent = True
+    with trio.move_on_after(30.0) as scope:
+        await log.commit([accepted(a_submission("a"))])
+    assert scope.cancelled_caught
+    assert log.confirmed_age_s() > 25.0
+    pair.network.silent = False
+    await log.commit([accepted(a_submission("b"))])
+    await trio.sleep(1.0)
+    assert jobs_of(backup) == ["valdres:a", "valdres:b"]
+    assert log.confirmed_age_s() < 1.0
+
+
+async def test_a_primary_hears_that_it_is_deposed(autojump_clock):
+    pair = Pair()
+    backup = await pair.store(B)
+    with pytest.RaisesGroup(Deposed, flatten_subgroups=True):
+        async with trio.open_nursery() as nursery:
+            log = await pair.log(nursery)
+            await backup.write([ViewJoined(Epoch(3))])
+            await log.commit([accepted(a_submission())])
+
+
+async def test_a_copy_without_its_disk_does_not_count(nursery, autojump_clock):
+    pair = Pair()
+    await pair.store(B, counts=False)
+    log = await pair.log(nursery)
+    await log.commit([accepted(a_submission())])
+    assert not log.counts(B)
+
+
+async def test_a_snapshot_brings_up_a_copy_that_is_far_behind(nursery, autojump_clock):
+    pair = Pair()
+    alone = View(DATA_CENTRE, Epoch(1), A)
+    log = await pair.log(nursery, alone)
+    assert log.second_copy_missing()
+    jobs = [accepted(a_submission(str(index), 200)) for index in range(60)]
+    await log.commit(jobs)
+    store = await pair.store(A)
+    store.copy.trim(store.copy.applied.seq)
+    pair.views = ViewTable(alone)
+    log.follow(B)
+    while not log.up_to_date(B):
+        await trio.sleep(0.01)
+    backup = await pair.store(B, counts=False)
+    assert len(jobs_of(backup)) == 60
+    assert await log.vouch(VIEW)
+    assert backup.copy.counts_in(VIEW)
+    assert not log.second_copy_missing()
+
+
+async def test_a_restarted_copy_is_the_same_after_compaction(nursery, autojump_clock):
+    journals = {}
+    stores = CopyStores(lambda name: journals.setdefault(name, MemoryJournal()))
+    store = await stores.get(DATA_CENTRE)
+    store._compact_at = 5
+    view = View(DATA_CENTRE, Epoch(1), A)
+    await store.write([ViewVouched(view), ViewJoined(Epoch(1))])
+    log = ReplicatedJobLog(view, store, Network(), 1)
+    await nursery.start(log.run)
+    for index in range(12):
+        await log.commit([accepted(a_submission(str(index)))])
+    again = CopyStores(lambda name: journals[name])
+    copy = (await again.get(DATA_CENTRE)).copy
+    assert copy.base.seq >= 5
+    copy.apply_to_table(copy.last.seq)
+    assert copy.table.jobs == store.copy.table.jobs
+    assert copy.counts_in(view)
+    assert copy.last == store.copy.last
--- /dev/null
+++ b/tests/test_roles.py
@@ -0,0 +1,286 @@
+"""Two and three hosts as real processes: takeover, restart, lost disks, handover."""
+
+import json
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+
+import trio
+
+from currantwell.answers import Answer, JobState
+from currantwell.client import Client
+from currantwell.codes import ResultCode
+from currantwell.http_client import HttpClient
+from tests.builders import DATA_CENTRE, a_submission
+from tests.processes import Process, running, wait_until
+
+TASKS = 200
+SERVICE_AGAIN_S = 5.0
+ANSWER_S = 40.0
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Cluster:
+    """Hosts of one data centre with emulated endpoints."""
+
+    def __init__(self, folder, stack, names, copies):
+        self.folder, self.stack = folder, stack
+        self.views = folder / "views"
+        self.views.mkdir()
+        self.names, self.copies = names, copies
+        self.peer_ports = {name: free_port() for name in names}
+        self.http_ports = {name: free_port() for name in names}
+        (folder / "key").write_text("k" * 32)
+        self.hosts, self.endpoints = {}, []
+        for name in names:
+            self.start(name)
+
+    def start(self, name):
+        others = [other for other in self.names if other != name]
+        path = self.folder / f"{name}.ini"
+        path.write_text(
+            "\n".join(
+                [
+                    "[host]",
+                    f"id = {name}",
+                    f"data_centre = {DATA_CENTRE}",
+                    f"http_port = {self.http_ports[name]}",
+                    f"data_folder = {self.folder / name}",
+                    f"peer_address = 127.0.0.1:{self.peer_ports[name]}",
+                    f"key_file = {self.folder / 'key'}",
+                    f"copies = {self.copies}",
+                    "[peers]",
+                    *(
+                        f"{o} = {DATA_CENTRE} 127.0.0.1:{self.peer_ports[o]}"
+                        for o in others
+                    ),
+                ]
+            )
+        )
+        module = [sys.executable, "-m", "tests.view_host", str(path), str(self.views)]
+        log = (self.folder / f"{name}.log").open("ab")
+        popen = subprocess.Popen(module, stdout=subprocess.PIPE, stderr=log)
+        self.stack.callback(stop, popen)
+        line = json.loads(popen.stdout.readline())
+        self.hosts[name] = Process(popen, line["url"], ())
+
+    def add_endpoints(self, count):
+        entries = [f"--entry={host.url}" for host in self.hosts.values()]
+        for index in range(count):
+            name = f"--id=endpoint-{index}"
+            place = f"--data-centre={DATA_CENTRE}"
+            arguments = ("endpoint", "emulate", name, place, *entries)
+            self.endpoints.append(self.stack.enter_context(running(*arguments)))
+
+    def view(self):
+        files = sorted(self.views.glob("*.json"), key=lambda p: int(p.suffixes[-2][1:]))
+        return json.loads(files[-1].read_text()) if files else None
+
+    def has_backup(self):
+        view = self.view()
+        return view is not None and view["backup"] is not None
+
+    def primary(self):
+        return self.hosts[self.view()["primary"]]
+
+    def other(self):
+        return self.hosts[self.view()["backup"]]
+
+
+def stop(popen):
+    if popen.poll() is None:
+        popen.send_signal(signal.SIGCONT)
+        popen.kill()
+        popen.wait()
+    popen.stdout.close()
+
+
+@contextmanager
+def cluster(folder: Path, names=("h1", "h2"), copies=1, endpoints=2):
+    with ExitStack() as stack:
+        made = Cluster(folder, stack, names, copies)
+        made.add_endpoints(endpoints)
+        wait_until(made.has_backup)
+        wait_until(lambda: known_endpoints(made.primary()) == endpoints)
+        yield made
+
+
+def known_endpoints(host):
+    async def ask():
+        client = Client(host.url)
+        try:
+            return len(await client.endpoints())
+        finally:
+            await client.close()
+
+    return trio.run(ask)
+
+
+def ask_run(host, submission, timeout_s=ANSWER_S):
+    """Submit and wait, asking again for as long as the outcome is unknown."""
+
+    async def ask():
+        client = Client(host.url)
+        told = None
+        with trio.move_on_after(timeout_s):
+            while not isinstance(told, Answer) or told.state is JobState.RUNNING:
+                told = await client.run(submission, timeout_s)
+                await trio.sleep(0.05)
+        await client.close()
+        return told
+
+    return trio.run(ask)
+
+
+def started(cluster):
+    """Return how often each task of each job was started, over all endpoints."""
+
+    async def ask():
+        counts = {}
+        for endpoint in cluster.endpoints:
+            client = HttpClient(endpoint.url)
+            reply = await client.request("GET", "/v1/started")
+            await client.close()
+            for job, task, count in json.loads(reply.body):
+                counts[job, task] = counts.get((job, task), 0) + count
+        return counts
+
+    return trio.run(ask)
+
+
+class Running:
+    """A job submitted from a thread of its own."""
+
+    def __init__(self, host, submission):
+        self.told = None
+        self._thread = threading.Thread(target=self._run, args=(host, submission))
+        self._thread.start()
+
+    def _run(self, host, submission):
+        self.told = ask_run(host, submission)
+
+    def join(self):
+        self._thread.join(ANSWER_S)
+        return self.told
+
+
+def is_whole(told, submission):
+    values = tuple(task.payload["value"] for task in submission.tasks)
+    return told.code is ResultCode.COMPLETE and tuple(told.results) == values
+
+
+def begun(cluster, count):
+    return lambda: sum(started(cluster).values()) >= count
+
+
+def expect_started_once(cluster, submission):
+    counts = started(cluster)
+    mine = {task: n for (job, task), n in counts.items() if submission.key in job}
+    assert mine == {index: 1 for index in range(len(submission.tasks))}
+
+
+def test_the_primary_is_killed_during_a_job(tmp_path):
+    with cluster(tmp_path) as made:
+        job = a_submission("long", TASKS, sleep_s=0.1)
+        successor = made.other()
+        running_job = Running(successor, job)
+        wait_until(begun(made, TASKS // 4))
+        made.primary().kill()
+        probe = a_submission("probe", 1)
+        told = ask_run(successor, probe, SERVICE_AGAIN_S)
+        assert is_whole(told, probe)
+        assert is_whole(running_job.join(), job)
+        expect_started_once(made, job)
+
+
+def test_a_frozen_primary_is_passed_over_and_wakes_as_no_one(tmp_path):
+    with cluster(tmp_path) as made:
+        job, probe = a_submission("long", TASKS, sleep_s=0.1), a_submission("probe")
+        frozen, successor = made.primary(), made.other()
+        running_job = Running(successor, job)
+        wait_until(begun(made, TASKS // 4))
+        frozen.signal(signal.SIGSTOP)
+        assert is_whole(ask_run(successor, probe, SERVICE_AGAIN_S), probe)
+        frozen.signal(signal.SIGCONT)
+        later = a_submission("later")
+        assert is_whole(ask_run(frozen, later), later)
+        assert is_whole(running_job.join(), job)
+        expect_started_once(made, job)
+
+
+def test_a_primary_that_stops_hands_over_and_cuts_off_no_request(tmp_path):
+    with cluster(tmp_path) as made:
+        job = a_submission("long", TASKS, sleep_s=0.1)
+        leaving, successor = made.primary(), made.other()
+        running_job = Running(leaving, job)
+        wait_until(begun(made, TASKS // 4))
+        leaving.signal(signal.SIGTERM)
+        wait_until(lambda: made.primary() is successor)
+        assert is_whole(running_job.join(), job)
+        assert leaving.popen.wait(ANSWER_S) == 0
+        probe = a_submission("probe")
+        assert is_whole(ask_run(successor, probe, SERVICE_AGAIN_S), probe)
+        expect_started_once(made, job)
+
+
+def test_both_hosts_are_killed_at_once(tmp_path):
+    with cluster(tmp_path) as made:
+        job = a_submission("long", TASKS, sleep_s=0.1)
+        running_job = Running(made.other(), job)
+        wait_until(begun(made, TASKS // 4))
+        for host in made.hosts.values():
+            host.popen.kill()
+        for name in made.names:
+            made.hosts[name].popen.wait()
+            made.start(name)
+        running_job.join()
+        again = ask_run(made.hosts["h1"], job)
+        assert is_whole(again, job)
+        assert ask_run(made.hosts["h2"], job) == again
+        expect_started_once(made, job)
+
+
+def test_a_second_disk_lost_after_a_repair_loses_nothing(tmp_path):
+    with cluster(tmp_path, copies=2) as made:
+        job = a_submission("kept", 20)
+        told = ask_run(made.primary(), job)
+        assert is_whole(told, job)
+        for _ in range(2):
+            lose(made, made.view()["backup"])
+            lose(made, made.view()["primary"])
+        assert ask_run(made.hosts["h1"], job) == told
+        assert ask_run(made.hosts["h2"], job) == told
+        expect_started_once(made, job)
+
+
+def lose(made, name):
+    """Lose a host with its disk, see new jobs refused, and wait for the repair."""
+    made.hosts[name].kill()
+    shutil.rmtree(made.folder / name)
+    (other,) = set(made.names) - {name}
+    wait_until(lambda: made.view()["primary"] == other and not made.has_backup())
+    refused = ResultCode.NOT_RUN_SECOND_COPY_MISSING
+    wait_until(lambda: submit_once(made.hosts[other]).code is refused)
+    made.start(name)
+    wait_until(made.has_backup)
+
+
+def submit_once(host):
+    async def ask():
+        client = Client(host.url)
+        try:
+            return await client.submit(a_submission("refused"))
+        finally:
+            await client.close()
+
+    return trio.run(ask)
