--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -14,7 +14,7 @@
 import trio
 
 from . import events
-from .answers import Answer, Refusal, TaskState
+from .answers import Answer, Refusal, TaskState, TaskStatus
 from .clock import CalendarClock, now_s
 from .codes import ResultCode
 from .endpoint_link import Connect, EndpointLink, Link
@@ -24,16 +24,18 @@
     AttemptRef,
     Beat,
     Held,
+    LeaseGrant,
     ResultLine,
     Start,
     StartBatch,
     StartReply,
 )
 from .errors import Deposed
-from .ids import DataCentre, EndpointId, Epoch, Incarnation, JobId, job_id
+from .ids import DataCentre, EndpointId, Epoch, Incarnation, JobId, Operator, job_id
 from .job_log import JobLog
 from .jobs import Job, JobTable, Task
 from .kernel import ServiceName
+from .metrics import HostLoad, Metrics, Timing
 from .records import (
     AttemptEnded,
     AttemptStarted,
@@ -44,8 +46,9 @@
     JobForgotten,
     Record,
 )
-from .scheduler import JobRequest, PlacedTask, Scheduler, WaitingTask
+from .scheduler import Scheduler
 from .submission import RestartRule, Submission, digest_of
+from .waiting import JobRequest, PlacedTask, WaitingTask
 
 __all__ = ["Dispatcher", "DispatcherLimits"]
 
@@ -112,6 +115,8 @@
         Limits.
     connect : callable
         Makes the link to an incarnation of an endpoint.
+    metrics : Metrics or None
+        Where times go.
     """
 
     name = ServiceName("dispatcher")
@@ -124,6 +129,7 @@
         scheduler: Scheduler,
         calendar: CalendarClock,
         limits: DispatcherLimits | None = None,
+        metrics: Metrics | None = None,
         connect: Connect = EndpointLink,
     ) -> None:
         self.data_centre = data_centre
@@ -136,6 +142,8 @@
         self._calendar = calendar
         self._limits = limits or DispatcherLimits()
         self._connect = connect
+        self._metrics = metrics or Metrics()
+        self._drains: dict[EndpointId, bool] = {}
         self._known: dict[EndpointId, _Known] = {}
         self._outbox: list[_Entry] = []
         self._placed: list[PlacedTask] = []
@@ -247,6 +255,16 @@
             await self._accepted[job].wait()
         return self._answer(job)
 
+    async def tasks(self, job: JobId) -> tuple[TaskStatus, ...] | Refusal:
+        """Return where each task of a job stands, once that is durable."""
+        if job not in self.table.jobs:
+            return self._no_job(job)
+        statuses = self.table.jobs[job].statuses()
+        with self._unless_stopped():
+            await self._put([]).wait()
+            await self._accepted[job].wait()
+        return statuses
+
     async def explain(self, job: JobId) -> list[str] | Refusal:
         """Say why the tasks of a job stand where they stand."""
         if job not in self.table.jobs:
@@ -257,6 +275,41 @@
         """Return what all known endpoints last said of themselves."""
         return [known.announcement for known in self._known.values()]
 
+    async def drain_endpoint(
+        self, endpoint: EndpointId, draining: bool, operator: Operator
+    ) -> Refusal | None:
+        """Have an endpoint get no new starts, or get them again.
+
+        The endpoint is told with its next lease and keeps it from then on.
+        """
+        known = self._known.get(endpoint)
+        if known is None:
+            return Refusal(ResultCode.NOT_FOUND, "no such endpoint", "endpoint")
+        self._drains[endpoint] = draining
+        self._take_in(known, known.announcement)
+        events.ENDPOINT_DRAINED.log(
+            endpoint=endpoint, draining=draining, operator=operator
+        )
+        return None
+
+    def load(self) -> HostLoad:
+        """Return what there is to do now."""
+        said = [known.announcement for known in self._known.values()]
+        states = [
+            task.state
+            for job in self.table.jobs.values()
+            if job.code is None
+            for task in job.tasks
+        ]
+        return HostLoad(
+            self.starts_sent,
+            self.starts_refused,
+            len(said),
+            sum(announcement.slots for announcement in said),
+            states.count(TaskState.STARTED),
+            states.count(TaskState.WAITING),
+        )
+
     async def announce(self, announcement: Announcement) -> AnnouncementReply | Refusal:
         """Take in an endpoint's announcement and grant it a lease."""
         process = (announcement.endpoint, announcement.incarnation)
@@ -271,17 +324,27 @@
             known = None
         if known is None:
             known = self._meet(announcement)
-        known.announcement = announcement
         known.heard_s = now_s()
-        self._scheduler.endpoint_announced(announcement, now_s())
+        drain = self._take_in(known, announcement)
         self._wake.set()
-        return AnnouncementReply(lease_s, self.epoch)
+        return AnnouncementReply(lease_s, self.epoch, drain)
 
     def _lease_s(self) -> float | None:
         """Return a lease that ends before a successor counts it over, if any."""
         lease_s = self._limits.endpoint_lease_s - self._log.confirmed_age_s()
         return None if lease_s <= 0 or self._stopped else lease_s
 
+    def _take_in(self, known: _Known, said: Announcement) -> bool | None:
+        """Take in what an endpoint says of itself; return an operator's wish."""
+        wish = self._drains.get(said.endpoint)
+        if wish:
+            said = msgspec.structs.replace(said, draining=True)
+        elif wish is False and not said.draining:
+            wish = self._drains.pop(said.endpoint)
+        known.announcement = said
+        self._scheduler.endpoint_announced(said, now_s())
+        return wish
+
     # What links tell.
 
     async def batch_answered(
@@ -292,7 +355,6 @@
         self._unanswered.difference_update(start.ref for start in batch.starts)
         ended = [AttemptEnded(refused.ref, refused.code) for refused in reply.refused]
         if ended:
-            self._scheduler.endpoint_refused(endpoint)
             await self._end(ended, {})
 
     async def results_arrived(
@@ -320,20 +382,21 @@
         if ended:
             await self._end(ended, {})
 
-    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> float | None:
-        """Take in a sign of life and return the lease granted, in seconds, if any."""
+    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> LeaseGrant | None:
+        """Take in a sign of life and return the lease granted, if any."""
         known = self._known.get(endpoint)
         if known is None or known.announcement.incarnation != beat.incarnation:
-            return LEASE_REFUSED_S
+            return LeaseGrant(beat.beat, LEASE_REFUSED_S)
         known.heard_s = now_s()
-        known.announcement = msgspec.structs.replace(
+        said = msgspec.structs.replace(
             known.announcement,
             running=beat.running,
             draining=beat.draining,
             used_processors=beat.used_processors,
         )
-        self._scheduler.endpoint_announced(known.announcement, now_s())
-        return self._lease_s()
+        drain = self._take_in(known, said)
+        lease_s = self._lease_s()
+        return None if lease_s is None else LeaseGrant(beat.beat, lease_s, drain)
 
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
         """Note whether an endpoint answers."""
@@ -435,6 +498,10 @@
 
     async def _show_answer(self, job: JobId, committed: trio.Event) -> None:
         await committed.wait()
+        accepted_unix_s = self.table.jobs[job].accepted_unix_s
+        self._metrics.observe(
+            Timing.JOB_RESPONSE, self._calendar.unix_s() - accepted_unix_s
+        )
         self._answered[job].set()
         self._any_answered.set()
         self._any_answered = trio.Event()
@@ -466,10 +533,7 @@
         await self._put([]).wait()
 
     def _free(self, record: AttemptEnded, run_s: float) -> None:
-        ok: bool | None = None
-        if record.code in (ResultCode.COMPLETE, ResultCode.TASK_FAILED):
-            ok = record.code is ResultCode.COMPLETE
-        self._scheduler.ended(record.ref, ok, run_s)
+        self._scheduler.ended(record.ref, record.code, run_s, now_s())
 
     def _after_ends(self, job: Job, indices: Sequence[int]) -> None:
         """Queue tasks whose attempts have ended again, or close their job."""
@@ -551,6 +615,8 @@
             self._forget_old()
             for job in self._scheduler.expired(now):
                 await self._cancel(job, ResultCode.DEADLINE_PASSED)
+            if self._scheduler.waiting_tasks:
+                self._wake.set()
 
     async def _end_lost(self, now: float) -> None:
         over = [lost for lost, over_s in self._lost.items() if over_s <= now]
@@ -568,6 +634,8 @@
             await self._wake.wait()
             self._wake = trio.Event()
             placed = [] if self._paused else self._scheduler.plan(now_s())
+            for item in placed:
+                self._metrics.observe(Timing.QUEUE_WAIT, now_s() - item.task.since_s)
             if placed:
                 self._put([self._intent(item) for item in placed])
             entries, self._outbox = self._outbox, []
@@ -607,7 +675,8 @@
         return self._paused or job.cancel_code is not None
 
     def _withdraw(self, item: PlacedTask) -> None:
-        self._scheduler.ended(item.ref, None, 0.0)
+        code = ResultCode.NOT_RUN_CANCELLED
+        self._scheduler.ended(item.ref, code, 0.0, now_s())
         task = self.table.task(item.ref)
         if task is not None and task.state is TaskState.STARTED:
             self._put([AttemptWithdrawn(item.ref)])
--- a/currantwell/endpoint_link.py
+++ b/currantwell/endpoint_link.py
@@ -69,8 +69,8 @@
         """Take in what an adopted endpoint holds."""
         ...
 
-    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> float | None:
-        """Take in a sign of life and return the lease granted, in seconds, if any."""
+    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> LeaseGrant | None:
+        """Take in a sign of life and return the lease granted, if any."""
         ...
 
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
@@ -302,9 +302,9 @@
         await self._owner.batch_answered(self.endpoint, batch, reply)
 
     def _take_beat(self, beat: Beat) -> None:
-        lease_s = self._owner.beat_arrived(self.endpoint, beat)
-        if lease_s is not None:
-            self._grant = LeaseGrant(beat.beat, lease_s)
+        grant = self._owner.beat_arrived(self.endpoint, beat)
+        if grant is not None:
+            self._grant = grant
             self._changed.set()
 
 
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -108,3 +108,45 @@
 HANDED_OVER = _event(
     705, "handed_over", Level.INFO, "This host stops; its backup runs the jobs now."
 )
+LEADER_CHANGED = _event(
+    500, "leader_changed", Level.INFO, "This host follows another leader, or none."
+)
+CLUSTER_FORMED = _event(
+    501, "cluster_formed", Level.INFO, "The first hosts began a cluster."
+)
+MEMBERSHIP_CHANGED = _event(
+    502,
+    "membership_changed",
+    Level.WARNING,
+    "Other members than before take part in the agreement.",
+)
+JOIN_ASKED = _event(
+    503,
+    "join_asked",
+    Level.WARNING,
+    "This host has no agreed state and asks to be taken in.",
+)
+PRESET_ACTIVATED = _event(
+    600,
+    "preset_activated",
+    Level.INFO,
+    "The proposed preset is in force; reason says why.",
+)
+VIEW_REPAIRED = _event(
+    601, "view_repaired", Level.WARNING, "A data centre passes over a lost host."
+)
+AGREEMENT_LOST = _event(
+    602, "agreement_lost", Level.WARNING, "No majority of hosts confirmed in time."
+)
+REGISTRATION_REFUSED = _event(
+    603, "registration_refused", Level.ERROR, "The hosts refuse to take this one in."
+)
+REQUEST_FAILED = _event(
+    900, "request_failed", Level.ERROR, "A request met an unforeseen error."
+)
+ENDPOINT_DRAINED = _event(
+    901,
+    "endpoint_drained",
+    Level.INFO,
+    "An operator had an endpoint drained, or put back to use.",
+)
--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -1,27 +1,35 @@
 """An entry host: the services of one process, put together."""
 
 import json
+import random
 import signal
 import sys
 
 import trio
 
 from . import events
+from .auth import OpenAuthenticator, load_tokens
 from .clock import SystemCalendar
 from .copy_store import CopyStores
+from .dispatch_policies import dispatch_scheduler
 from .dispatcher import Dispatcher, DispatcherLimits
 from .errors import SettingsInvalid
-from .http_api import HttpApi
+from .gateway import JobGateway
+from .http_api import HttpApi, HttpParts
+from .http_body import BodyBudget
 from .http_server import HttpServer, bind
 from .ids import DataCentre, Epoch
 from .job_log import JobLog
 from .job_services import JobServices, views_of_one_host
 from .journal import DiskJournal, Journal, MemoryJournal
 from .kernel import Kernel, Service
+from .metrics import HostLoad, LoopMonitor, MeasuredJobLog, Metrics, NoLoad
 from .peers import NoPeers, Peers
+from .presets import FixedPreset
+from .quotas import EqualQuotas
 from .router import Router
-from .scheduler import AdmitAll, FifoOrdering, LeastLoaded, Scheduler
-from .settings import HostSettings
+from .settings import HostSettings, read_key
+from .status import SystemStatus
 from .views import ViewSource
 
 __all__ = ["Host", "run_host"]
@@ -42,6 +50,7 @@
         self.settings = settings
         self.kernel = Kernel(settings.drain_timeout_s)
         self.address: tuple[str, int] | None = None
+        self._metrics = Metrics()
         self._views = views
         self._jobs: JobServices | None = None
         self._api: HttpApi | None = None
@@ -64,16 +73,23 @@
         directory = self._jobs.directory
         router = Router(directory)
         gateway = directory.gateway(own.data_centre)
-        self._api = api = HttpApi(own.data_centre, router, gateway)
+        parts = self._http_parts(gateway)
+        self._api = api = HttpApi(own.data_centre, router, gateway, parts)
         listener = bind(own.address, own.http_port)
         server = HttpServer(api.app(), listener, own.drain_timeout_s)
         self.address = server.address
         network: list[Service] = [peers] if isinstance(peers, Peers) else []
+        monitor = LoopMonitor(self._metrics)
         first, last = self._jobs.first(), self._jobs.last()
-        for service in (*network, *first, server, router, *last):
+        for service in (monitor, *network, *first, server, router, *last):
             self.kernel.register(service)
         return await self.kernel.run(task_status)
 
+    def load(self) -> HostLoad:
+        """Return what there is to do for this host's data centre, if it runs it."""
+        dispatcher = self.dispatcher
+        return NoLoad().load() if dispatcher is None else dispatcher.load()
+
     def stop(self) -> None:
         """Finish the requests in progress and stop."""
         events.HOST_DRAINING.log(host=self.settings.host)
@@ -81,16 +97,33 @@
             self._api.ready = False
         self.kernel.stop()
 
+    def _http_parts(self, gateway: JobGateway) -> HttpParts:
+        own = self.settings
+        tokens = own.tokens_file
+        status = SystemStatus(own.host, own.data_centre, gateway, FixedPreset(), self)
+        return HttpParts(
+            load_tokens(tokens) if tokens else OpenAuthenticator(),
+            BodyBudget(own.bodies_in_flight_bytes),
+            self._metrics,
+            self,
+            status,
+        )
+
     def _make_dispatcher(
         self, data_centre: DataCentre, epoch: Epoch, log: JobLog
     ) -> Dispatcher:
+        limits = DispatcherLimits(
+            endpoint_lease_s=self.settings.endpoint_lease_s,
+            answer_kept_s=self.settings.answer_kept_s,
+        )
         return Dispatcher(
             data_centre,
             epoch,
-            log,
-            Scheduler(LeastLoaded(), FifoOrdering(), AdmitAll()),
+            MeasuredJobLog(log, self._metrics),
+            dispatch_scheduler(FixedPreset(), EqualQuotas(), random.Random()),
             SystemCalendar(),
-            DispatcherLimits(endpoint_lease_s=self.settings.endpoint_lease_s),
+            limits,
+            self._metrics,
         )
 
     def _peers(self) -> Peers | NoPeers:
@@ -102,8 +135,7 @@
         if own.key_file is None:
             raise SettingsInvalid(["hosts with peers need a key_file"])
         addresses = {host: peer.address for host, peer in own.peers.items()}
-        key = own.key_file.read_bytes()
-        return Peers(own.host, own.peer_address, addresses, key)
+        return Peers(own.host, own.peer_address, addresses, read_key(own.key_file))
 
     def _journal(self, name: str) -> Journal:
         folder = self.settings.data_folder
--- a/currantwell/remote_gateway.py
+++ b/currantwell/remote_gateway.py
@@ -12,13 +12,13 @@
 import msgspec
 import trio
 
-from .answers import Answer, Refusal
+from .answers import Answer, Refusal, TaskStatus
 from .clock import now_s
 from .codes import ResultCode, is_not_run
 from .dispatcher import Dispatcher
 from .endpoint_protocol import Announcement, AnnouncementReply
 from .errors import Deposed, PeerUnreachable
-from .ids import DataCentre, HostId, JobId
+from .ids import DataCentre, EndpointId, HostId, JobId, Operator
 from .kernel import ServiceName
 from .peers import PeerMessage, PeerNetwork
 from .submission import Submission
@@ -98,7 +98,9 @@
     "submit": tuple[Submission],
     "wait": tuple[JobId, float],
     "cancel": tuple[JobId],
+    "tasks": tuple[JobId],
     "explain": tuple[JobId],
+    "drain_endpoint": tuple[EndpointId, bool, Operator],
     "announce": tuple[Announcement],
     "endpoints": tuple[()],
 }
@@ -106,7 +108,9 @@
     "submit": Answer,
     "wait": Answer,
     "cancel": Answer,
+    "tasks": tuple[TaskStatus, ...],
     "explain": list[str],
+    "drain_endpoint": None,
     "announce": AnnouncementReply,
     "endpoints": list[Announcement],
 }
@@ -311,6 +315,11 @@
         told: Answer | Refusal = await self._call("cancel", job)
         return told
 
+    async def tasks(self, job: JobId) -> tuple[TaskStatus, ...] | Refusal:
+        """Return where each task of a job stands."""
+        told: tuple[TaskStatus, ...] | Refusal = await self._call("tasks", job)
+        return told
+
     async def explain(self, job: JobId) -> list[str] | Refusal:
         """Say why the tasks of a job stand where they stand."""
         told: list[str] | Refusal = await self._call("explain", job)
@@ -328,6 +337,15 @@
         told: list[Announcement] | Refusal = await self._call("endpoints")
         return told
 
+    async def drain_endpoint(
+        self, endpoint: EndpointId, draining: bool, operator: Operator
+    ) -> Refusal | None:
+        """Have an endpoint get no new starts, or get them again."""
+        told: Refusal | None = await self._call(
+            "drain_endpoint", endpoint, draining, operator
+        )
+        return told
+
     async def run(self) -> None:
         """Ask remote owners which of the jobs waited for here have ended."""
         while True:
--- a/currantwell/roles.py
+++ b/currantwell/roles.py
@@ -3,19 +3,24 @@
 Invariants: a host acts as primary only in a view in which its copy counts and which
 it had not joined before, so that no number is used by two processes; when a newer
 view is known it stops at once; whoever proposes a view has vouched for its copies.
+View 1 only names who begins: nothing is ever told in it, so that an empty copy may
+vouch for view 2 if it is named in view 1, and for no other.
 """
 
+import contextlib
 import dataclasses
 from collections.abc import Awaitable, Callable, Mapping
 
 import trio
 
 from . import events
+from .answers import Refusal
 from .clock import now_s
 from .copy_store import CopyStore, CopyStores
 from .dispatcher import Dispatcher
+from .endpoint_protocol import Announcement
 from .errors import AgreementLost, Deposed, PeerUnreachable, StorageFailed
-from .ids import DataCentre, Epoch, HostId
+from .ids import DataCentre, EndpointId, Epoch, HostId, Incarnation
 from .job_backup import JobBackup
 from .job_copy import ViewJoined, ViewVouched
 from .job_log import JobLog
@@ -27,6 +32,8 @@
 __all__ = [
     "BackupExit",
     "BackupLeaves",
+    "EndpointsKnown",
+    "EndpointsNoted",
     "LeaveNoted",
     "MakeDispatcher",
     "RoleLimits",
@@ -38,6 +45,9 @@
 PAUSE_S = 1.0
 PROPOSE_S = 3.0
 LEAVE_S = 3.0
+REPAIR_PAUSE_S = 2.0
+NOT_WHOLE_PAUSE_S = 5.0
+FIRST = Epoch(1)
 
 MakeDispatcher = Callable[[DataCentre, Epoch, JobLog], Dispatcher]
 
@@ -48,6 +58,17 @@
     data_centre: DataCentre
 
 
+class EndpointsKnown(PeerMessage, frozen=True):
+    """A primary tells its backup which endpoints it uses, for a takeover."""
+
+    data_centre: DataCentre
+    endpoints: tuple[Announcement, ...]
+
+
+class EndpointsNoted(PeerMessage, frozen=True):
+    """The backup knows the endpoints."""
+
+
 class LeaveNoted(PeerMessage, frozen=True):
     """The primary will go on without the backup."""
 
@@ -129,7 +150,9 @@
         self._acting: dict[DataCentre, _Acting] = {}
         self._leaving: set[tuple[DataCentre, HostId]] = set()
         self._draining = False
+        self._endpoints: dict[DataCentre, tuple[Announcement, ...]] = {}
         peers.handle(BackupLeaves, self._note_leave)
+        peers.handle(EndpointsKnown, self._note_endpoints)
 
     def dispatcher(self, data_centre: DataCentre) -> Dispatcher | None:
         """Return the dispatcher that this host runs for a data centre, if any."""
@@ -192,6 +215,7 @@
     ) -> None:
         """Play a role until a newer view is known."""
         store = await self._stores.get(view.data_centre)
+        await self._vouch_by_rule(view, store)
         try:
             async with trio.open_nursery() as nursery:
 
@@ -206,6 +230,33 @@
             events.DEPOSED.log(view=view.number, ground=str(group.exceptions[0]))
             await trio.sleep(TICK_S)
 
+    async def _vouch_by_rule(self, view: View, store: CopyStore) -> None:
+        """Vouch for this host's copy where no one else had to.
+
+        In view 1 nothing is told; and what was told in the view before this one
+        stands on each copy that counted in it, so that one of them alone may follow.
+        """
+        copy = store.copy
+        if view.number == FIRST and not copy.counts_in(self._alone_after(view)):
+            await self._vouch_first(view, store)
+        before = Epoch(view.number - 1)
+        alone = view == View(view.data_centre, view.number, self._host)
+        if alone and copy.joined <= before and copy.counts_in_number(before):
+            await store.write([ViewVouched(view)])
+
+    async def _vouch_first(self, view: View, store: CopyStore) -> None:
+        """Vouch for view 2 if it is sure that view 1 is still the newest.
+
+        A host that lost its disk may pass by view 1 while it catches up.
+        """
+        try:
+            await self._views.confirm()
+        except AgreementLost:
+            await trio.sleep(TICK_S)
+            return
+        if self._views.view(view.data_centre) == view:
+            await store.write([ViewVouched(self._alone_after(view))])
+
     async def _view_after(self, view: View) -> None:
         while self._views.view(view.data_centre) == view:
             with trio.move_on_after(POLL_S):
@@ -217,9 +268,7 @@
         if self._host in names:
             await trio.sleep(sorted(names).index(self._host) * PROPOSE_S)
             if self._views.view(data_centre) is None and not self._draining:
-                store = await self._stores.get(data_centre)
-                first = View(data_centre, Epoch(1), self._host)
-                await self._propose(store, first)
+                await self._agree(View(data_centre, FIRST, self._host))
         await trio.sleep(TICK_S)
 
     async def _propose(self, store: CopyStore, following: View) -> bool:
@@ -233,6 +282,12 @@
         except AgreementLost:
             return False
 
+    def _may_propose(self, view: View, store: CopyStore) -> bool:
+        """Tell whether this host's copy may count alone in the next view."""
+        if view.number == FIRST:
+            return store.copy.counts_in(self._alone_after(view))
+        return store.copy.counts_in(view)
+
     def _alone_after(self, view: View) -> View:
         return View(view.data_centre, Epoch(view.number + 1), self._host)
 
@@ -252,7 +307,8 @@
             silent_s += TICK_S
             if silent_s < self._limits.takeover_after_s or self._draining:
                 continue
-            if store.copy.counts_in(view):
+            await self._vouch_by_rule(view, store)
+            if self._may_propose(view, store):
                 events.TAKEOVER_PROPOSED.log(view=view.number, primary=view.primary)
                 await self._propose(store, self._alone_after(view))
             silent_s = 0.0
@@ -268,19 +324,27 @@
         self._leaving.add((message.data_centre, sender))
         return LeaveNoted()
 
+    async def _note_endpoints(
+        self, sender: HostId, message: EndpointsKnown
+    ) -> EndpointsNoted:
+        self._endpoints[message.data_centre] = message.endpoints
+        return EndpointsNoted()
+
     # Primary.
 
     async def _be_primary(self, view: View, store: CopyStore) -> None:
         if store.copy.may_act(view):
             await store.write([ViewJoined(view.number)])
             await self._act(view, store)
-        elif store.copy.counts_in(view):
+        elif self._may_propose(view, store):
             if not self._draining:
                 await self._propose(store, self._alone_after(view))
             await trio.sleep(TICK_S)
+        elif view.number == FIRST:
+            await trio.sleep(TICK_S)
         else:
             events.COPY_NOT_WHOLE.log(view=view.number, store=store.copy.store)
-            await trio.sleep_forever()
+            await trio.sleep(NOT_WHOLE_PAUSE_S)
 
     async def _act(self, view: View, store: CopyStore) -> None:
         log = ReplicatedJobLog(view, store, self._peers, self._limits.copies)
@@ -290,9 +354,12 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._look_after_backup, acting)
+                nursery.start_soon(self._share_endpoints, acting)
                 await nursery.start(log.run)
                 dispatcher = self._make_dispatcher(view.data_centre, view.number, log)
                 await nursery.start(dispatcher.run)
+                for said in self._endpoints.get(view.data_centre, ()):
+                    await dispatcher.announce(said)
                 acting.dispatcher = dispatcher
                 events.PRIMARY_STARTED.log(
                     data_centre=view.data_centre, view=view.number, backup=view.backup
@@ -314,6 +381,29 @@
                 for host in self._candidates(acting.view.data_centre):
                     await self._try_backup(acting, acting.dispatcher, host)
 
+    async def _share_endpoints(self, acting: _Acting) -> None:
+        """Keep the backup informed of the endpoints; they announce themselves rarely.
+
+        Who takes over meets them at once instead of after their next announcement.
+        """
+        shared: set[tuple[EndpointId, Incarnation, str]] = set()
+        data_centre = acting.view.data_centre
+        while True:
+            await trio.sleep(TICK_S)
+            told = await acting.dispatcher.endpoints() if acting.dispatcher else []
+            if isinstance(told, Refusal):
+                continue
+            names = {(said.endpoint, said.incarnation, said.url) for said in told}
+            if not names or names == shared:
+                continue
+            self._endpoints[data_centre] = tuple(told)
+            if acting.view.backup is None:
+                continue
+            message = EndpointsKnown(data_centre, tuple(told))
+            with contextlib.suppress(PeerUnreachable):
+                await self._peers.ask(acting.view.backup, message, EndpointsNoted)
+                shared = names
+
     def _is_gone(self, acting: _Acting, backup: HostId) -> bool:
         if (acting.view.data_centre, backup) in self._leaving:
             return True
@@ -321,9 +411,9 @@
         return silent_s > self._limits.drop_after_s or not acting.log.counts(backup)
 
     def _candidates(self, data_centre: DataCentre) -> list[HostId]:
-        """Return the other hosts, those of the data centre first."""
-        others = [host for host in self._hosts if host != self._host]
-        return sorted(others, key=lambda h: (self._hosts[h] != data_centre, h))
+        """Return the other hosts of the data centre."""
+        places = self._hosts.items()
+        return sorted(h for h, p in places if p == data_centre and h != self._host)
 
     async def _try_backup(
         self, acting: _Acting, dispatcher: Dispatcher, host: HostId
@@ -346,6 +436,7 @@
         else:
             await self._propose(acting.store, self._alone_after(acting.view))
             dispatcher.resume()
+            await trio.sleep(REPAIR_PAUSE_S)
 
     async def _change_view(
         self, acting: _Acting, dispatcher: Dispatcher, following: View
--- a/tests/view_host.py
+++ b/tests/view_host.py
@@ -44,6 +44,9 @@
         while all(self.view(dc) == before.get(dc) for dc in self._data_centres):
             await trio.sleep(POLL_S)
 
+    async def confirm(self):
+        """Files are read at each call."""
+
     async def propose_view(self, view):
         newest = self.view(view.data_centre)
         if view.number == (newest.number + 1 if newest else 1):
