--- a/currantwell/endpoint_link.py
+++ b/currantwell/endpoint_link.py
@@ -304,7 +304,7 @@
     def _take_beat(self, beat: Beat) -> None:
         grant = self._owner.beat_arrived(self.endpoint, beat)
         if grant is not None:
-            self._grant = grant
+            self._grant = msgspec.structs.replace(grant, acked_seq=self._acked_seq)
             self._changed.set()
 
 
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -130,7 +130,7 @@
     600,
     "preset_activated",
     Level.INFO,
-    "The proposed preset is in force; reason says why.",
+    "The proposed preset is in force; ground says why it may be.",
 )
 VIEW_REPAIRED = _event(
     601, "view_repaired", Level.WARNING, "A data centre passes over a lost host."
@@ -150,3 +150,9 @@
     Level.INFO,
     "An operator had an endpoint drained, or put back to use.",
 )
+JOURNAL_TAIL_CUT = _event(
+    510,
+    "journal_tail_cut",
+    Level.INFO,
+    "A crash had cut a write short that no one was told of; its rest is removed.",
+)
--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -8,27 +8,26 @@
 import trio
 
 from . import events
+from .admin_api import AdminApi
 from .auth import OpenAuthenticator, load_tokens
 from .clock import SystemCalendar
+from .control import Control
+from .control_plane import build_control_plane
 from .copy_store import CopyStores
 from .dispatch_policies import dispatch_scheduler
 from .dispatcher import Dispatcher, DispatcherLimits
-from .errors import SettingsInvalid
 from .gateway import JobGateway
 from .http_api import HttpApi, HttpParts
 from .http_body import BodyBudget
 from .http_server import HttpServer, bind
 from .ids import DataCentre, Epoch
 from .job_log import JobLog
-from .job_services import JobServices, views_of_one_host
+from .job_services import JobServices
 from .journal import DiskJournal, Journal, MemoryJournal
-from .kernel import Kernel, Service
+from .kernel import Kernel
 from .metrics import HostLoad, LoopMonitor, MeasuredJobLog, Metrics, NoLoad
-from .peers import NoPeers, Peers
-from .presets import FixedPreset
-from .quotas import EqualQuotas
 from .router import Router
-from .settings import HostSettings, read_key
+from .settings import HostSettings
 from .status import SystemStatus
 from .views import ViewSource
 
@@ -43,7 +42,7 @@
     settings : HostSettings
         Its settings.
     views : ViewSource or None
-        The agreed views; None for a host that is alone.
+        The agreed views, if not those of control.
     """
 
     def __init__(self, settings: HostSettings, views: ViewSource | None = None) -> None:
@@ -51,7 +50,9 @@
         self.kernel = Kernel(settings.drain_timeout_s)
         self.address: tuple[str, int] | None = None
         self._metrics = Metrics()
+        self._calendar = SystemCalendar()
         self._views = views
+        self._control: Control | None = None
         self._jobs: JobServices | None = None
         self._api: HttpApi | None = None
 
@@ -65,23 +66,22 @@
     async def run(self, task_status: trio.TaskStatus[None]) -> bool:
         """Serve until stopped; return whether it drained in time."""
         own = self.settings
-        peers = self._peers()
-        views, stores = self._views, CopyStores(self._journal)
-        if views is None:
-            views, stores = await views_of_one_host(own, self._journal)
-        self._jobs = JobServices(own, views, stores, peers, self._make_dispatcher)
+        plane = await build_control_plane(own, self._journal, self._calendar)
+        self._control = plane.control
+        stores = CopyStores(self._journal)
+        views = self._views or plane.control
+        self._jobs = JobServices(own, views, stores, plane.peers, self._make_dispatcher)
         directory = self._jobs.directory
         router = Router(directory)
         gateway = directory.gateway(own.data_centre)
-        parts = self._http_parts(gateway)
+        parts = self._http_parts(gateway, plane.control)
         self._api = api = HttpApi(own.data_centre, router, gateway, parts)
         listener = bind(own.address, own.http_port)
         server = HttpServer(api.app(), listener, own.drain_timeout_s)
         self.address = server.address
-        network: list[Service] = [peers] if isinstance(peers, Peers) else []
         monitor = LoopMonitor(self._metrics)
         first, last = self._jobs.first(), self._jobs.last()
-        for service in (monitor, *network, *first, server, router, *last):
+        for service in (monitor, *plane.services, *first, server, router, *last):
             self.kernel.register(service)
         return await self.kernel.run(task_status)
 
@@ -97,21 +97,21 @@
             self._api.ready = False
         self.kernel.stop()
 
-    def _http_parts(self, gateway: JobGateway) -> HttpParts:
+    def _http_parts(self, gateway: JobGateway, control: Control) -> HttpParts:
         own = self.settings
         tokens = own.tokens_file
-        status = SystemStatus(own.host, own.data_centre, gateway, FixedPreset(), self)
+        status = SystemStatus(own.host, own.data_centre, gateway, control, self)
+        authenticator = load_tokens(tokens) if tokens else OpenAuthenticator()
+        budget = BodyBudget(own.bodies_in_flight_bytes)
+        admin = AdminApi(control, authenticator, budget)
         return HttpParts(
-            load_tokens(tokens) if tokens else OpenAuthenticator(),
-            BodyBudget(own.bodies_in_flight_bytes),
-            self._metrics,
-            self,
-            status,
+            authenticator, budget, self._metrics, self, status, tuple(admin.routes())
         )
 
     def _make_dispatcher(
         self, data_centre: DataCentre, epoch: Epoch, log: JobLog
     ) -> Dispatcher:
+        assert self._control is not None
         limits = DispatcherLimits(
             endpoint_lease_s=self.settings.endpoint_lease_s,
             answer_kept_s=self.settings.answer_kept_s,
@@ -120,23 +120,12 @@
             data_centre,
             epoch,
             MeasuredJobLog(log, self._metrics),
-            dispatch_scheduler(FixedPreset(), EqualQuotas(), random.Random()),
-            SystemCalendar(),
+            dispatch_scheduler(self._control, self._control, random.Random()),
+            self._calendar,
             limits,
             self._metrics,
         )
 
-    def _peers(self) -> Peers | NoPeers:
-        own = self.settings
-        if own.peer_address is None:
-            return NoPeers()
-        if self._views is None:
-            raise SettingsInvalid(["hosts with peers need agreed views"])
-        if own.key_file is None:
-            raise SettingsInvalid(["hosts with peers need a key_file"])
-        addresses = {host: peer.address for host, peer in own.peers.items()}
-        return Peers(own.host, own.peer_address, addresses, read_key(own.key_file))
-
     def _journal(self, name: str) -> Journal:
         folder = self.settings.data_folder
         if folder is None:
--- a/currantwell/job_services.py
+++ b/currantwell/job_services.py
@@ -1,19 +1,16 @@
 """The services of a host that keep, run and find jobs, put together."""
 
-from collections.abc import Callable
-
 from .copy_store import CopyStores
 from .ids import DataCentre, HostId
 from .job_backup import JobBackup
-from .journal import Journal
 from .kernel import Service
 from .peers import PeerNetwork
 from .remote_gateway import ViewDirectory
 from .roles import BackupExit, MakeDispatcher, RoleLimits, Roles
 from .settings import HostSettings
-from .views import View, ViewSource, ViewTable
+from .views import ViewSource
 
-__all__ = ["JobServices", "views_of_one_host"]
+__all__ = ["JobServices"]
 
 
 class JobServices:
@@ -68,18 +65,6 @@
         return [self.directory, self.roles]
 
 
-async def views_of_one_host(
-    settings: HostSettings, open_journal: Callable[[str], Journal]
-) -> tuple[ViewTable, CopyStores]:
-    """Return the views of a host that is alone, from what its disk remembers."""
-    stores = CopyStores(open_journal)
-    store = await stores.get(settings.data_centre)
-    if not store.copy.joined:
-        return ViewTable(), stores
-    view = View(settings.data_centre, store.copy.joined, settings.host)
-    return ViewTable(view), stores
-
-
 def _hosts(settings: HostSettings) -> dict[HostId, DataCentre]:
     peers = {host: peer.data_centre for host, peer in settings.peers.items()}
     return {settings.host: settings.data_centre, **peers}
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -39,6 +39,7 @@
 from currantwell.submission import RestartRule, Submission, TaskSpec, digest_of
 
 KEY = b"a key of tests"
+KEY_TEXT = "k" * 64 + "\n"
 
 
 class ListState:
@@ -133,9 +134,6 @@
             await trio.sleep(0.01)
 
 
-KEY_TEXT = "k" * 64 + "\n"
-
-
 def settings_file(folder: Path, text: str) -> Path:
     """Write a settings file beside a good key file and a tokens file."""
     (folder / "hosts.key").write_text(KEY_TEXT)
@@ -228,6 +226,8 @@
             await trio.sleep(timeout_s)
             raise AgreementLost(f"{self.name} is cut off")
         await trio.sleep(0.005)
+        if not self.cluster.reach(self.name, self.leader):
+            raise AgreementLost(f"{self.name} was cut off")
 
     async def propose(self, command, timeout_s=3.0):
         await self._majority(timeout_s)
