Kill each of three hosts in turn under the ordinary command

Cause: takeover was shown with views agreed through files; this shows it with the agreement of the hosts, two copies and settings alone.

--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -16,6 +16,7 @@
 from currantwell.answers import Answer, JobState
 from currantwell.client import Client
 from currantwell.codes import ResultCode
+from currantwell.errors import EndpointUnreachable, RequestRefused
 from currantwell.http_client import HttpClient
 from tests.builders import DATA_CENTRE, a_submission
 from tests.processes import Process, running, wait_until
@@ -36,19 +37,31 @@
 class Cluster:
     """Hosts of one data centre with emulated endpoints."""
 
-    def __init__(self, folder, stack, names, copies):
+    def __init__(self, folder, stack, names, copies, control):
         self.folder, self.stack = folder, stack
         self.views = folder / "views"
         self.views.mkdir()
-        self.names, self.copies = names, copies
+        self.names, self.copies, self.control = names, copies, control
         self.peer_ports = {name: free_port() for name in names}
         self.http_ports = {name: free_port() for name in names}
         (folder / "key").write_text("k" * 32)
         self.hosts, self.endpoints = {}, []
-        for name in names:
-            self.start(name)
+        self.start_all()
+
+    def start_all(self):
+        """Start hosts at once: they need one another to agree."""
+        popens = {name: self.launch(name) for name in self.names}
+        for name, popen in popens.items():
+            self.meet(name, popen)
 
     def start(self, name):
+        self.meet(name, self.launch(name))
+
+    def meet(self, name, popen):
+        line = json.loads(popen.stdout.readline())
+        self.hosts[name] = Process(popen, line["url"], ())
+
+    def launch(self, name):
         others = [other for other in self.names if other != name]
         path = self.folder / f"{name}.ini"
         path.write_text(
@@ -70,13 +83,15 @@
                 ]
             )
         )
-        module = [sys.executable, "-m", "tests.view_host", str(path), str(self.views)]
+        module = ["tests.view_host", str(path), str(self.views)]
+        if self.control:
+            module = ["currantwell", "host", "run", "--settings", str(path)]
         log = (self.folder / f"{name}.log").open("ab")
-        popen = subprocess.Popen(module, stdout=subprocess.PIPE, stderr=log)
+        command = [sys.executable, "-m", *module]
+        popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=log)
         log.close()
         self.stack.callback(stop, popen)
-        line = json.loads(popen.stdout.readline())
-        self.hosts[name] = Process(popen, line["url"], ())
+        return popen
 
     def add_endpoints(self, count):
         entries = [f"--entry={host.url}" for host in self.hosts.values()]
@@ -110,12 +125,14 @@
 
 
 @contextmanager
-def cluster(folder: Path, names=("h1", "h2"), copies=1, endpoints=2):
+def cluster(folder: Path, names=("h1", "h2"), copies=1, endpoints=2, control=False):
     with ExitStack() as stack:
-        made = Cluster(folder, stack, names, copies)
+        made = Cluster(folder, stack, names, copies, control)
         made.add_endpoints(endpoints)
-        wait_until(made.has_backup)
-        wait_until(lambda: known_endpoints(made.primary()) == endpoints)
+        if not control:
+            wait_until(made.has_backup)
+        for host in made.hosts.values():
+            wait_until(lambda host=host: known_endpoints(host) == endpoints)
         yield made
 
 
@@ -124,6 +141,8 @@
         client = Client(host.url)
         try:
             return len(await client.endpoints())
+        except (EndpointUnreachable, RequestRefused):
+            return 0
         finally:
             await client.close()
 
@@ -300,3 +319,22 @@
             await client.close()
 
     return trio.run(ask)
+
+
+def test_each_host_of_three_is_killed_in_turn(tmp_path):
+    """The ordinary command, with the agreement of the hosts and two copies."""
+    with cluster(tmp_path, ("h1", "h2", "h3"), copies=2, control=True) as made:
+        jobs = []
+        for name, other in (("h1", "h2"), ("h2", "h3"), ("h3", "h1")):
+            job = a_submission(f"while-{name}-dies", TASKS, sleep_s=0.1)
+            running_job = Running(made.hosts[other], job)
+            wait_until(begun(made, len(jobs) * TASKS + TASKS // 4))
+            made.hosts[name].kill()
+            probe = a_submission(f"probe-{name}")
+            assert is_whole(ask_run(made.hosts[other], probe, SERVICE_AGAIN_S), probe)
+            jobs.append((job, running_job.join()))
+            assert is_whole(jobs[-1][1], job)
+            made.start(name)
+        for job, told in jobs:
+            assert ask_run(made.hosts["h3"], job) == told
+            expect_started_once(made, job)
