--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -13,24 +13,26 @@
 from .clock import SystemCalendar
 from .control import Control
 from .control_plane import build_control_plane
+from .copy_store import CopyStores
 from .dispatch_policies import dispatch_scheduler
 from .dispatcher import Dispatcher, DispatcherLimits
+from .gateway import JobGateway
 from .http_api import HttpApi, HttpParts
 from .http_body import BodyBudget
 from .http_server import HttpServer, bind
-from .ids import Epoch
-from .job_log import LocalJobLog
+from .ids import DataCentre, Epoch
+from .job_log import JobLog
+from .job_services import JobServices
 from .journal import DiskJournal, Journal, MemoryJournal
 from .kernel import Kernel
-from .metrics import LoopMonitor, MeasuredJobLog, Metrics
-from .router import Router, StaticDirectory
+from .metrics import HostLoad, LoopMonitor, MeasuredJobLog, Metrics, NoLoad
+from .router import Router
 from .settings import HostSettings
 from .status import SystemStatus
+from .views import ViewSource
 
 __all__ = ["Host", "run_host"]
 
-EPOCH_BYTES = 8
-
 
 class Host:
     """One entry host.
@@ -39,42 +41,55 @@
     ----------
     settings : HostSettings
         Its settings.
+    views : ViewSource or None
+        The agreed views, if not those of control.
     """
 
-    def __init__(self, settings: HostSettings) -> None:
+    def __init__(self, settings: HostSettings, views: ViewSource | None = None) -> None:
         self.settings = settings
         self.kernel = Kernel(settings.drain_timeout_s)
-        self.dispatcher: Dispatcher | None = None
         self.address: tuple[str, int] | None = None
+        self._metrics = Metrics()
+        self._calendar = SystemCalendar()
+        self._views = views
+        self._control: Control | None = None
+        self._jobs: JobServices | None = None
         self._api: HttpApi | None = None
 
+    @property
+    def dispatcher(self) -> Dispatcher | None:
+        """The dispatcher of this host's data centre, if this host runs it."""
+        if self._jobs is None:
+            return None
+        return self._jobs.roles.dispatcher(self.settings.data_centre)
+
     async def run(self, task_status: trio.TaskStatus[None]) -> bool:
         """Serve until stopped; return whether it drained in time."""
-        epoch = await self._next_epoch()
-        metrics = Metrics()
-        calendar = SystemCalendar()
-        plane = await build_control_plane(self.settings, self._journal, calendar)
-        self.dispatcher = Dispatcher(
-            self.settings.data_centre,
-            epoch,
-            MeasuredJobLog(LocalJobLog(self._journal("jobs")), metrics),
-            dispatch_scheduler(plane.control, plane.control, random.Random()),
-            calendar,
-            DispatcherLimits(endpoint_lease_s=self.settings.endpoint_lease_s),
-            metrics,
-        )
-        router = Router(StaticDirectory({self.settings.data_centre: self.dispatcher}))
-        parts = self._http_parts(metrics, self.dispatcher, plane.control)
-        api = HttpApi(self.settings.data_centre, router, self.dispatcher, parts)
-        self._api = api
-        listener = bind(self.settings.address, self.settings.http_port)
-        server = HttpServer(api.app(), listener, self.settings.drain_timeout_s)
+        own = self.settings
+        plane = await build_control_plane(own, self._journal, self._calendar)
+        self._control = plane.control
+        stores = CopyStores(self._journal)
+        views = self._views or plane.control
+        self._jobs = JobServices(own, views, stores, plane.peers, self._make_dispatcher)
+        directory = self._jobs.directory
+        router = Router(directory)
+        gateway = directory.gateway(own.data_centre)
+        parts = self._http_parts(gateway, plane.control)
+        self._api = api = HttpApi(own.data_centre, router, gateway, parts)
+        listener = bind(own.address, own.http_port)
+        server = HttpServer(api.app(), listener, own.drain_timeout_s)
         self.address = server.address
-        services = (LoopMonitor(metrics), server, router, self.dispatcher)
-        for service in (*plane.services, *services):
+        monitor = LoopMonitor(self._metrics)
+        first, last = self._jobs.first(), self._jobs.last()
+        for service in (monitor, *plane.services, *first, server, router, *last):
             self.kernel.register(service)
         return await self.kernel.run(task_status)
 
+    def load(self) -> HostLoad:
+        """Return what there is to do for this host's data centre, if it runs it."""
+        dispatcher = self.dispatcher
+        return NoLoad().load() if dispatcher is None else dispatcher.load()
+
     def stop(self) -> None:
         """Finish the requests in progress and stop."""
         events.HOST_DRAINING.log(host=self.settings.host)
@@ -82,28 +97,34 @@
             self._api.ready = False
         self.kernel.stop()
 
-    def _http_parts(
-        self, metrics: Metrics, dispatcher: Dispatcher, control: Control
-    ) -> HttpParts:
+    def _http_parts(self, gateway: JobGateway, control: Control) -> HttpParts:
         own = self.settings
         tokens = own.tokens_file
-        status = SystemStatus(
-            own.host, own.data_centre, dispatcher, control, dispatcher
-        )
+        status = SystemStatus(own.host, own.data_centre, gateway, control, self)
         authenticator = load_tokens(tokens) if tokens else OpenAuthenticator()
         budget = BodyBudget(own.bodies_in_flight_bytes)
         admin = AdminApi(control, authenticator, budget)
         return HttpParts(
-            authenticator, budget, metrics, dispatcher, status, tuple(admin.routes())
+            authenticator, budget, self._metrics, self, status, tuple(admin.routes())
         )
 
-    async def _next_epoch(self) -> Epoch:
-        journal = self._journal("epoch")
-        earlier = list(journal.read())
-        epoch = int.from_bytes(earlier[-1], "big") + 1 if earlier else 1
-        await journal.append([epoch.to_bytes(EPOCH_BYTES, "big")])
-        journal.close()
-        return Epoch(epoch)
+    def _make_dispatcher(
+        self, data_centre: DataCentre, epoch: Epoch, log: JobLog
+    ) -> Dispatcher:
+        assert self._control is not None
+        limits = DispatcherLimits(
+            endpoint_lease_s=self.settings.endpoint_lease_s,
+            answer_kept_s=self.settings.answer_kept_s,
+        )
+        return Dispatcher(
+            data_centre,
+            epoch,
+            MeasuredJobLog(log, self._metrics),
+            dispatch_scheduler(self._control, self._control, random.Random()),
+            self._calendar,
+            limits,
+            self._metrics,
+        )
 
     def _journal(self, name: str) -> Journal:
         folder = self.settings.data_folder
@@ -113,7 +134,7 @@
         return DiskJournal(folder / f"{name}.journal")
 
 
-async def run_host(settings: HostSettings) -> bool:
+async def run_host(settings: HostSettings, views: ViewSource | None = None) -> bool:
     """Run a host until SIGTERM or SIGINT; print its address when it serves.
 
     Returns
@@ -121,7 +142,7 @@
     bool
         Whether it drained in time.
     """
-    host = Host(settings)
+    host = Host(settings, views)
     drained = False
 
     async def serve(task_status: trio.TaskStatus[None]) -> None:
--- a/currantwell/views.py
+++ b/currantwell/views.py
@@ -50,6 +50,16 @@
         """Return once any view has changed."""
         ...
 
+    async def confirm(self) -> None:
+        """Return once this host knows all views agreed before the call.
+
+        Raises
+        ------
+        AgreementLost
+            If no majority confirmed it in time.
+        """
+        ...
+
     async def propose_view(self, view: View) -> bool:
         """Have a view agreed; only the one after the newest can be.
 
@@ -91,6 +101,9 @@
         """Return once any view has changed."""
         await self._changed.wait()
 
+    async def confirm(self) -> None:
+        """Know all views already."""
+
     async def propose_view(self, view: View) -> bool:
         """Take a view if it is the one after the newest."""
         newest = self._views.get(view.data_centre)
