--- a/currantwell/codes.py
+++ b/currantwell/codes.py
@@ -112,6 +112,9 @@
     ResultCode.VERSION_CONFLICT: "Another change came first; plan anew.",
     ResultCode.UNKNOWN_DATA_CENTRE: "The key's home is no data centre of the system.",
     ResultCode.NOT_FOUND: "There is no such thing or route.",
+    ResultCode.ANSWER_NOT_KEPT: (
+        "The job ended too long ago for its answer to be kept; it is not run again."
+    ),
     ResultCode.TASK_FAILED: "The endpoint ran the task and it failed.",
     ResultCode.JOB_FAILED: "At least one task did not succeed; see the tasks.",
     ResultCode.JOB_CANCELLED: "The job was cancelled; see the tasks.",
--- a/currantwell/copy_store.py
+++ b/currantwell/copy_store.py
@@ -14,7 +14,6 @@
 from .ids import DataCentre, Epoch, StoreId
 from .job_copy import (
     AppendRecords,
-    BaseRecords,
     CopyChange,
     CopyOutcome,
     CopyReply,
@@ -43,8 +42,8 @@
     journal : Journal
         Where the changes go.
     compact_after : int
-        After so many records, and as many as the snapshot has, the journal is
-        replaced by a snapshot.
+        After so many records, and about as many as a snapshot has, the journal is
+        replaced by one.
     """
 
     def __init__(
@@ -56,6 +55,8 @@
         self._since_snapshot = 0
         self._compact_at = compact_after
         self._turn = trio.Lock()
+        self._tail: list[bytes] | None = None
+        self._settled = trio.Event()
         for data in journal.read():
             self._apply([_decoder.decode(data)])
 
@@ -117,26 +118,44 @@
                     self.copy.apply_to_table(decision.committed)
         return self.copy.reply(decision.outcome)
 
-    async def compact(self, keep_from: int) -> bool:
+    async def compact(self) -> bool:
         """Replace a journal that has grown by a snapshot; tell whether it was.
 
-        Parameters
-        ----------
-        keep_from : int
-            Records after this number stay in memory for other copies.
+        The snapshot is taken in small steps, and changes go on meanwhile: they are
+        kept for the end of the new journal too.
         """
-        if self._since_snapshot < self._compact_at:
+        if self._tail is not None or self._since_snapshot < self._compact_at:
             return False
-        async with self._turn:
-            whole = list(self.copy.whole())
-            self._journal.replace([_encoder.encode(change) for change in whole])
-            self.copy.trim(keep_from)
-            parts = [part for part in whole if isinstance(part, BaseRecords)]
-            size = sum(len(part.records) for part in parts)
-            self._compact_at = max(self._compact_after, size)
-            self._since_snapshot = 0
+        tail: list[bytes] = []
+        self._tail = tail
+        self.copy.frozen = True
+        try:
+            whole: list[bytes] = []
+            for change in self.copy.whole():
+                whole.append(_encoder.encode(change))
+                await trio.lowlevel.checkpoint()
+            with trio.CancelScope(shield=True):
+                async with self._turn:
+                    if self._tail is not tail:
+                        return False
+                    kept = [*whole, *tail]
+                    await trio.to_thread.run_sync(self._journal.replace, kept)
+        finally:
+            self._tail = None
+            self.copy.frozen = False
+            self._settled.set()
+            self._settled = trio.Event()
+        jobs = self.copy.table.jobs.values()
+        size = sum(1 + 2 * len(job.tasks) for job in jobs)
+        self._compact_at = max(self._compact_after, size)
+        self._since_snapshot = 0
         return True
 
+    async def wait_settled(self) -> None:
+        """Return once no snapshot is being taken."""
+        while self._tail is not None:
+            await self._settled.wait()
+
     def close(self) -> None:
         """Let go of the journal."""
         self._journal.close()
@@ -151,11 +170,16 @@
                 return self.copy.on_vouch(message)
 
     async def _write(self, changes: Sequence[CopyChange]) -> None:
-        await self._journal.append([_encoder.encode(change) for change in changes])
+        encoded = [_encoder.encode(change) for change in changes]
+        await self._journal.append(encoded)
+        if self._tail is not None:
+            self._tail.extend(encoded)
         self._apply(changes)
 
     def _replace(self, changes: Sequence[CopyChange]) -> None:
         self._journal.replace([_encoder.encode(change) for change in changes])
+        if self._tail is not None:
+            self._tail = []
         self._since_snapshot = 0
         self._apply(changes)
 
@@ -189,6 +213,10 @@
                 self._stores[data_centre] = store
             return self._stores[data_centre]
 
+    def opened(self) -> dict[DataCentre, CopyStore]:
+        """Return the copies that there are so far."""
+        return dict(self._stores)
+
     def close(self) -> None:
         """Let go of all journals."""
         for store in self._stores.values():
--- a/currantwell/job_backup.py
+++ b/currantwell/job_backup.py
@@ -4,8 +4,6 @@
 newer view refuses an older one for good. All that is answered is synced.
 """
 
-import trio
-
 from .clock import now_s
 from .copy_store import CopyStores
 from .ids import DataCentre, HostId
@@ -58,6 +56,4 @@
         reply = await store.answer(message)
         if reply.outcome is not CopyOutcome.REFUSED:
             self._heard_s[message.data_centre] = now_s()
-            await store.compact(store.copy.applied.seq)
-        await trio.lowlevel.checkpoint()
         return reply
--- a/currantwell/job_copy.py
+++ b/currantwell/job_copy.py
@@ -203,6 +203,7 @@
         self._views: list[Epoch] = []
         self._records: list[bytes] = []
         self._incoming: list[InstallChunk] = []
+        self.frozen = False
 
     @property
     def last(self) -> Position:
@@ -276,7 +277,12 @@
                 self.table.apply_all(decode_record(record) for record in records)
 
     def apply_to_table(self, committed: int) -> None:
-        """Apply records up to a sequence number to the job table."""
+        """Apply records up to a sequence number to the job table.
+
+        While the table is frozen for a snapshot, this is put off to the next call.
+        """
+        if self.frozen:
+            return
         last = min(committed, self.last.seq)
         start = self.applied.seq - self.base.seq
         for record in self._records[start : last - self.base.seq]:
@@ -299,26 +305,26 @@
         self.base = position
 
     def whole(self) -> Iterator[CopyChange]:
-        """Yield changes that rebuild the copy."""
+        """Yield changes that rebuild the copy, the latest records first taken down."""
+        unapplied = self.runs_after(self.applied.seq, limit_bytes=1 << 62)
         yield StoreMade(self.store)
         yield ViewJoined(self.joined)
-        yield from (ViewVouched(view) for view in self.vouched)
+        yield from [ViewVouched(view) for view in self.vouched]
         yield BaseBegun(self.applied)
         yield from (BaseRecords(part) for part in self.snapshot_parts())
-        yield from self.runs_after(self.applied.seq, limit_bytes=1 << 62)
+        yield from unapplied
 
-    def snapshot_parts(self) -> list[tuple[bytes, ...]]:
-        """Return the job table in parts of about `CHUNK_BYTES`."""
-        parts: list[tuple[bytes, ...]] = []
+    def snapshot_parts(self) -> Iterator[tuple[bytes, ...]]:
+        """Iterate over the job table in parts of about `CHUNK_BYTES`."""
         part: list[bytes] = []
         size_bytes = 0
         for record in map(encode_record, self.table.snapshot()):
             part.append(record)
             size_bytes += len(record)
             if size_bytes >= CHUNK_BYTES:
-                parts.append(tuple(part))
+                yield tuple(part)
                 part, size_bytes = [], 0
-        return [*parts, tuple(part)]
+        yield tuple(part)
 
     # Messages.
 
--- a/currantwell/job_primary.py
+++ b/currantwell/job_primary.py
@@ -228,7 +228,7 @@
 
     def _install(self, follower: Follower) -> None:
         position = self.copy.applied
-        parts = self.copy.snapshot_parts()
+        parts = list(self.copy.snapshot_parts())
         follower.known, follower.probe = False, None
         follower.chunks = [
             InstallChunk(
--- a/currantwell/jobs.py
+++ b/currantwell/jobs.py
@@ -6,7 +6,7 @@
 """
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from .answers import Answer, JobState, TaskState, TaskStatus
@@ -147,12 +147,14 @@
         task = job.tasks[ref.task]
         return task if task.attempt == ref.attempt else None
 
-    def snapshot(self) -> list[Record]:
-        """Return records that rebuild the table when applied in order."""
-        records: list[Record] = [JobForgotten(job) for job in self.forgotten]
+    def snapshot(self) -> Iterator[Record]:
+        """Iterate over records that rebuild the table when applied in order.
+
+        The table must not change meanwhile.
+        """
+        yield from (JobForgotten(job) for job in self.forgotten)
         for job in self.jobs.values():
-            records.extend(self._job_records(job))
-        return records
+            yield from self._job_records(job)
 
     def _job_records(self, job: Job) -> Iterable[Record]:
         """Yield starts, the cancellation and ends: ends are read in its light."""
--- a/currantwell/remote_gateway.py
+++ b/currantwell/remote_gateway.py
@@ -41,6 +41,7 @@
 ANNOUNCE_FOLLOW_S = 0.8
 RETRY_PAUSE_S = 0.05
 POLL_S = 0.5
+MAX_SERVING = 40
 
 
 class Owners(Protocol):
@@ -57,6 +58,7 @@
     TOLD = "told"
     REFUSED = "refused"
     NOT_OWNER = "not_owner"
+    BUSY = "busy"
     LOST = "lost"
 
 
@@ -69,7 +71,7 @@
 
 
 class OwnerTold(PeerMessage, frozen=True):
-    """What the owner returned; ``NOT_OWNER`` says that it did nothing."""
+    """What the owner returned; ``NOT_OWNER`` and ``BUSY`` say that it did nothing."""
 
     outcome: OwnerOutcome
     value: msgspec.Raw = msgspec.Raw(b"\xc0")
@@ -117,7 +119,7 @@
 
 
 class _NotOwner(Exception):
-    """The host asked did nothing, since it owns no jobs of the data centre."""
+    """The host asked did nothing: it is no owner, or too busy."""
 
 
 class ViewDirectory:
@@ -153,6 +155,7 @@
         self._owners = owners
         self._peers = peers
         self._gateways: dict[DataCentre, FollowingGateway] = {}
+        self._serving = 0
         self._watched: dict[DataCentre, dict[HostId, set[JobId]]] = {}
         self._nursery: trio.Nursery | None = None
         peers.handle(AskOwner, self._serve)
@@ -191,12 +194,25 @@
         dispatcher = self._owners.dispatcher(request.data_centre)
         if dispatcher is None or request.method not in _ARGUMENTS:
             return OwnerTold(OwnerOutcome.NOT_OWNER)
+        if self._serving >= MAX_SERVING:
+            return OwnerTold(OwnerOutcome.BUSY)
+        self._serving += 1
+        try:
+            return await self._call(dispatcher, request)
+        finally:
+            self._serving -= 1
+
+    async def _call(self, dispatcher: Dispatcher, request: AskOwner) -> OwnerTold:
+        told: Any = None
         arguments = msgspec.msgpack.decode(
             request.arguments, type=_ARGUMENTS[request.method]
         )
-        try:
-            told = await getattr(dispatcher, request.method)(*arguments)
-        except Deposed:
+        with trio.move_on_after(ASK_TIMEOUT_S) as scope:
+            try:
+                told = await getattr(dispatcher, request.method)(*arguments)
+            except Deposed:
+                return OwnerTold(OwnerOutcome.LOST)
+        if scope.cancelled_caught:
             return OwnerTold(OwnerOutcome.LOST)
         refused = isinstance(told, Refusal)
         outcome = OwnerOutcome.REFUSED if refused else OwnerOutcome.TOLD
@@ -402,7 +418,7 @@
         request = AskOwner(self._data_centre, method, body)
         told = await self._peers.ask(owner, request, OwnerTold, ASK_TIMEOUT_S)
         match told.outcome:
-            case OwnerOutcome.NOT_OWNER:
+            case OwnerOutcome.NOT_OWNER | OwnerOutcome.BUSY:
                 raise _NotOwner
             case OwnerOutcome.LOST:
                 raise PeerUnreachable(f"{owner} was taken over")
--- a/currantwell/replicated_job_log.py
+++ b/currantwell/replicated_job_log.py
@@ -87,7 +87,12 @@
 
     def recover(self) -> Iterator[Record]:
         """Iterate over records that rebuild the job table."""
-        return iter(self._store.copy.table.snapshot())
+        self._store.copy.apply_to_table(self._primary.committed)
+        return iter(list(self._store.copy.table.snapshot()))
+
+    def keep_from(self) -> int:
+        """Return the first sequence number that other copies still need."""
+        return self._primary.keep_from()
 
     def second_copy_missing(self) -> bool:
         """Tell whether fewer hosts hold a copy than a new job needs."""
@@ -191,7 +196,6 @@
             await self._store.write_as(self.view.number, runs)
             self._primary.synced(runs)
             self._tell_advanced()
-            await self._store.compact(self._primary.keep_from())
 
     async def _send_loop(self, host: HostId, scope: trio.CancelScope) -> None:
         with scope:
--- a/currantwell/roles.py
+++ b/currantwell/roles.py
@@ -47,6 +47,7 @@
 LEAVE_S = 3.0
 REPAIR_PAUSE_S = 2.0
 NOT_WHOLE_PAUSE_S = 5.0
+COMPACT_CHECK_S = 1.0
 FIRST = Epoch(1)
 
 MakeDispatcher = Callable[[DataCentre, Epoch, JobLog], Dispatcher]
@@ -172,6 +173,7 @@
             async with trio.open_nursery() as nursery:
                 for data_centre in sorted(set(self._hosts.values())):
                     nursery.start_soon(self._follow, data_centre)
+                nursery.start_soon(self._compact_loop)
                 while len(self._hosts) == 1 and self.dispatcher(own) is None:
                     await trio.sleep(TICK_S / 10)
                 task_status.started()
@@ -196,6 +198,19 @@
                 await self._ask_to_leave(view)
                 await self._view_after(view)
 
+    async def _compact_loop(self) -> None:
+        """Keep journals and memory bounded, but in no one's recovery."""
+        while True:
+            await trio.sleep(COMPACT_CHECK_S)
+            for data_centre, store in self._stores.opened().items():
+                acting = self._acting.get(data_centre)
+                if acting is not None and acting.dispatcher is None:
+                    continue
+                if await store.compact():
+                    acting = self._acting.get(data_centre)
+                    keep_from = acting.log.keep_from() if acting else None
+                    store.copy.trim(keep_from or store.copy.applied.seq)
+
     # Following the views.
 
     async def _follow(self, data_centre: DataCentre) -> None:
@@ -356,6 +371,7 @@
                 nursery.start_soon(self._look_after_backup, acting)
                 nursery.start_soon(self._share_endpoints, acting)
                 await nursery.start(log.run)
+                await store.wait_settled()
                 dispatcher = self._make_dispatcher(view.data_centre, view.number, log)
                 await nursery.start(dispatcher.run)
                 for said in self._endpoints.get(view.data_centre, ()):
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -86,9 +86,9 @@
 
     @invariant()
     def replay_changes_nothing(self):
-        before = self.table.snapshot()
+        before = list(self.table.snapshot())
         self.table.apply_all(before)
-        assert self.table.snapshot() == before
+        assert list(self.table.snapshot()) == before
 
     @invariant()
     def not_run_is_true(self):
--- a/tests/test_replicated_job_log.py
+++ b/tests/test_replicated_job_log.py
@@ -114,6 +114,7 @@
 
 
 async def test_a_restarted_copy_is_the_same_after_compaction(nursery, autojump_clock):
+    """Records that arrive while the snapshot is taken are kept too."""
     journals = {}
     stores = CopyStores(lambda name: journals.setdefault(name, MemoryJournal()))
     store = await stores.get(DATA_CENTRE)
@@ -124,10 +125,17 @@
     await nursery.start(log.run)
     for index in range(12):
         await log.commit([accepted(a_submission(str(index)))])
+    nursery.start_soon(store.compact)
+    await trio.lowlevel.checkpoint()
+    assert store.copy.frozen
+    await log.commit([accepted(a_submission("late"))])
+    await store.wait_settled()
+    await log.commit([accepted(a_submission("later"))])
     again = CopyStores(lambda name: journals[name])
     copy = (await again.get(DATA_CENTRE)).copy
-    assert copy.base.seq >= 5
+    assert copy.base.seq >= 12
     copy.apply_to_table(copy.last.seq)
+    assert len(copy.table.jobs) == 14
     assert copy.table.jobs == store.copy.table.jobs
     assert copy.counts_in(view)
     assert copy.last == store.copy.last
