Start idempotent tasks again that an endpoint failed; scenarios of several hosts

Cause: an endpoint that fails every task failed each job that touched it, whatever the submitter had allowed. A failed attempt is over by proof, which is what IF_OVER asks for. Change: up to three attempts for IF_OVER, within the retry budget; scenarios kill, cut off and empty hosts of three data centres.

--- a/currantwell/codes.py
+++ b/currantwell/codes.py
@@ -112,6 +112,7 @@
     ResultCode.VERSION_CONFLICT: "Another change came first; plan anew.",
     ResultCode.UNKNOWN_DATA_CENTRE: "The key's home is no data centre of the system.",
     ResultCode.NOT_FOUND: "There is no such thing or route.",
+    ResultCode.ANSWER_NOT_KEPT: "The job ended so long ago that its answer is gone.",
     ResultCode.ANSWER_NOT_KEPT: (
         "The job ended too long ago for its answer to be kept; it is not run again."
     ),
--- a/currantwell/jobs.py
+++ b/currantwell/jobs.py
@@ -27,6 +27,8 @@
 
 __all__ = ["Job", "JobTable", "Task"]
 
+MAX_FAILED_ATTEMPTS = 3
+
 
 @dataclasses.dataclass(slots=True)
 class Task:
@@ -211,7 +213,7 @@
         if record.code is ResultCode.COMPLETE:
             self._settle(job, task, TaskState.DONE, record)
         elif record.code in (ResultCode.TASK_FAILED, ResultCode.TASK_STOPPED):
-            self._settle(job, task, TaskState.FAILED, record)
+            self._failed(job, task, record)
         elif is_not_run(record.code):
             self._not_run(job, task, record)
         elif self._may_restart(job, task, RestartRule.IF_OVER):
@@ -220,6 +222,14 @@
         else:
             self._settle(job, task, TaskState.UNKNOWN, record)
 
+    def _failed(self, job: Job, task: Task, record: AttemptEnded) -> None:
+        again = task.attempt < MAX_FAILED_ATTEMPTS
+        if again and self._may_restart(job, task, RestartRule.IF_OVER):
+            task.state = TaskState.WAITING
+            task.in_doubt = True
+        else:
+            self._settle(job, task, TaskState.FAILED, record)
+
     def _withdraw(self, record: AttemptWithdrawn) -> None:
         job = self.jobs.get(record.ref.job)
         task = self.task(record.ref)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -12,17 +12,21 @@
 ``ready N [via=HOST]``                    wait until N endpoints are known
 ``submit JOB [via=HOST] tasks=N sleep_s=S ...``  submit a job and go on
 ``again JOB [via=HOST]``                      submit the same job once more
+``preset NAME [via=HOST] [version=N] [id=ID]`` have a preset set
+``expect-preset NAME [via=HOST] [within_s=S]`` which preset a host follows
 ``cancel JOB [via=HOST]``                     cancel a job
 ``started N``                                 wait until N tasks have been started
 ``kill|stop|freeze|thaw NAME``                SIGKILL, SIGTERM, SIGSTOP, SIGCONT
 ``restart NAME [lose=disk]``                  start a process that has ended
 ``link FROM TO FAULT``                        put a fault on a link
+``isolate|rejoin DATA_CENTRE``                cut a data centre off, silently
 ``silence FROM TO``                           silence the open connections of a link
 ``expect JOB STATE [code=CODE] [within_s=S]``  the job's answer
 ``expect-refused JOB CODE``                   what the last submission was told
 ``expect-tasks JOB STATE=N ...``              states of tasks of a failed job
 ``expect-started-once``                       no task of any job started twice
 ``expect-starts NAME N``                      how many tasks an endpoint has started
+``expect-few-starts NAME MOST``  between one and so many starts at an endpoint
 ``expect-exit NAME CODE``                     a stopped process's exit code
 ``expect-no-new-starts NAME after_s=S for_s=S``  an endpoint gets no start any more
 ``pause S``                                   let time pass
@@ -41,10 +45,12 @@
 import msgspec
 import trio
 
+from currantwell.admin_protocol import ChangeRequest
 from currantwell.answers import Answer, Refusal
 from currantwell.client import Client
 from currantwell.codes import ResultCode
 from currantwell.ids import EndpointId, JobKey, Team
+from currantwell.operator_client import OperatorClient
 from currantwell.submission import RestartRule, Submission, TaskSpec
 from tests.faulty_proxy import Fault, FaultyProxy
 
@@ -197,6 +203,7 @@
             key_file.chmod(0o600)
             values["peer_address"] = f"127.0.0.1:{node.peer_port}"
             values["key_file"] = str(key_file)
+            values["copies"] = "2"
             lines.append("[peers]")
         for other in self._hosts.values():
             if other is not node:
@@ -239,6 +246,23 @@
     async def do_silence(self, source, target):
         self._proxies[source, target].silence_open_connections()
 
+    async def do_isolate(self, data_centre, fault="silent"):
+        """Put a fault on every link between a data centre's hosts and all others."""
+        for proxy in self._border(data_centre):
+            proxy.set_fault(Fault(fault))
+
+    async def do_rejoin(self, data_centre):
+        await self.do_isolate(data_centre, "none")
+
+    def _border(self, data_centre):
+        for (source, target), proxy in self._proxies.items():
+            ends = [self._hosts.get(source), self._hosts.get(target)]
+            if None in ends:
+                continue
+            inside = [node.data_centre == data_centre for node in ends]
+            if inside[0] != inside[1]:
+                yield proxy
+
     async def do_pause(self, seconds):
         await trio.sleep(float(seconds))
 
@@ -269,6 +293,7 @@
         key=None,
         declared_s=None,
         endpoint=None,
+        within_s=None,
     ):
         client = self._client(via)
         spec = TaskSpec(
@@ -283,14 +308,60 @@
         self._jobs[job] = Submission(
             job_key, Team("team"), (spec,) * int(tasks), float(deadline_s)
         )
-        self._told[job] = await client.submit(self._jobs[job])
+        await self._send(client, job, within_s)
+
+    async def do_again(self, job, via=None, within_s=None):
+        await self._send(self._client(via), job, within_s)
+
+    async def _send(self, client, job, within_s):
+        """Submit once, or until the job is taken if that may last so long."""
+
+        async def taken():
+            self._told[job] = await client.submit(self._jobs[job])
+            return within_s is None or isinstance(self._told[job], Answer)
+
+        with trio.fail_after(float(within_s or STEP_TIMEOUT_S)):
+            await _until(taken)
         await client.close()
 
-    async def do_again(self, job, via=None):
-        client = self._client(via)
-        self._told[job] = await client.submit(self._jobs[job])
+    async def do_repaired(self, data_centre, via=None):
+        """Wait until a data centre has a primary and a backup that are alive."""
+        client = self._operator(via)
+
+        async def repaired():
+            view = (await client.views()).views[data_centre]
+            alive = [
+                name and self._hosts[name].process.poll() is None
+                for name in (view.primary, view.backup)
+            ]
+            return all(alive)
+
+        await _until(repaired)
+        await client.close()
+
+    async def do_preset(self, name, via=None, version=None, id="change"):
+        """Set a preset, against the newest version unless another is given."""
+        client = self._operator(via)
+        if version is None:
+            version = (await client.plan_preset(name)).version
+        request = ChangeRequest(id, "a scenario", int(version))
+        self._told[name] = await client.set_preset(name, request)
         await client.close()
 
+    async def do_expect_preset(self, name, via=None, within_s="3"):
+        client = self._operator(via)
+
+        async def followed():
+            return (await client.presets()).followed == name
+
+        with trio.fail_after(float(within_s)):
+            await _until(followed)
+        await client.close()
+
+    def _operator(self, via):
+        address, port = self._hosts[via or next(iter(self._hosts))].address
+        return OperatorClient(f"http://{address}:{port}")
+
     async def do_cancel(self, job, via=None):
         client = self._client(via)
         submission = self._jobs[job]
@@ -353,6 +424,9 @@
     async def do_expect_starts(self, name, count):
         assert sum((await self._starts(name)).values()) == int(count)
 
+    async def do_expect_few_starts(self, name, most):
+        assert 0 < sum((await self._starts(name)).values()) <= int(most)
+
     async def do_expect_exit(self, name, code):
         process = self._node(name).process
         assert await trio.to_thread.run_sync(process.wait) == int(code)
