Say not run only when no newer owner can have run it

Cause, by reading each path as an adversary: a primary that was frozen or cut off and has been taken over could refuse a resubmission as not run before it heard so, while its successor ran the job; a handover that met a takeover could end the host's shutdown with an error; a host that left and came back was never taken as backup again by a primary which had kept the note. Change: refusals and 'no such job' wait for a request to the backup that was sent after the question (about a round trip, shared by all that wait); a stopped dispatcher has nothing to drain; notes of leaving end after 5 s. Not run: a test of the last two causes.

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 from collections.abc import Iterator, Sequence
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 import msgspec
 import trio
@@ -179,8 +179,9 @@
     async def drain(self) -> None:
         """Refuse new jobs and return once all accepted ones are answered."""
         self._shutting_down = True
-        for answered in list(self._answered.values()):
-            await answered.wait()
+        with suppress(Deposed), self._unless_stopped():
+            for answered in list(self._answered.values()):
+                await answered.wait()
 
     async def pause(self, timeout_s: float) -> None:
         """Send no more starts and return once endpoints have answered all sent."""
@@ -216,7 +217,7 @@
         if job is None:
             refusal = self._check_new(job_key, submission)
             if refusal is not None:
-                return refusal
+                return await self._sure(refusal)
             self._accept(job_key, submission, digest)
         elif job.digest != digest:
             return Refusal(
@@ -229,7 +230,7 @@
     async def wait(self, job: JobId, timeout_s: float) -> Answer | Refusal:
         """Return the answer of a job, or its state once the time is up."""
         if job not in self.table.jobs:
-            return self._no_job(job)
+            return await self._sure(self._no_job(job))
         with self._unless_stopped():
             await self._accepted[job].wait()
             with trio.move_on_after(timeout_s):
@@ -423,6 +424,12 @@
         if self._stopped:
             raise Deposed(f"epoch {self.epoch} has ended")
 
+    async def _sure(self, refusal: Refusal) -> Refusal:
+        """Return a refusal once no newer dispatcher can have accepted the job."""
+        with self._unless_stopped():
+            await self._log.confirm()
+        return refusal
+
     # Jobs.
 
     def _no_job(self, job: JobId) -> Refusal:
--- a/currantwell/job_log.py
+++ b/currantwell/job_log.py
@@ -32,6 +32,16 @@
         """Return how long ago it was certain that no newer view had taken over."""
         ...
 
+    async def confirm(self) -> None:
+        """Return once it is certain that no newer view took over before the call.
+
+        Raises
+        ------
+        Deposed
+            If one has.
+        """
+        ...
+
     async def commit(self, records: Sequence[Record]) -> None:
         """Return once the records are durable on every copy of the view.
 
@@ -79,6 +89,9 @@
         """No one else can take over."""
         return 0.0
 
+    async def confirm(self) -> None:
+        """No one else can take over."""
+
     async def commit(self, records: Sequence[Record]) -> None:
         """Return once the records are synced."""
         self._waiting.extend(encode_record(record) for record in records)
--- a/currantwell/replicated_job_log.py
+++ b/currantwell/replicated_job_log.py
@@ -116,6 +116,12 @@
         ]
         return now_s() - min(contacts) if contacts else 0.0
 
+    async def confirm(self) -> None:
+        """Return once it is certain that no newer view took over before the call."""
+        asked_s = now_s()
+        self._wake()
+        await self._until(lambda: now_s() - self.confirmed_age_s() >= asked_s)
+
     async def commit(self, records: Sequence[Record]) -> None:
         """Return once the records are synced here and at the backup."""
         last = self._primary.add([encode_record(record) for record in records])
--- a/currantwell/roles.py
+++ b/currantwell/roles.py
@@ -45,6 +45,7 @@
 PAUSE_S = 1.0
 PROPOSE_S = 3.0
 LEAVE_S = 3.0
+LEFT_FOR_S = 5.0
 REPAIR_PAUSE_S = 2.0
 NOT_WHOLE_PAUSE_S = 5.0
 COMPACT_CHECK_S = 1.0
@@ -149,7 +150,7 @@
         self._make_dispatcher = make_dispatcher
         self._limits = limits
         self._acting: dict[DataCentre, _Acting] = {}
-        self._leaving: set[tuple[DataCentre, HostId]] = set()
+        self._leaving: dict[tuple[DataCentre, HostId], float] = {}
         self._draining = False
         self._endpoints: dict[DataCentre, tuple[Announcement, ...]] = {}
         peers.handle(BackupLeaves, self._note_leave)
@@ -185,8 +186,9 @@
         """Hand the jobs over to the backup, or finish them."""
         self._draining = True
         for acting in list(self._acting.values()):
-            if not await self._hand_over(acting) and acting.dispatcher is not None:
-                await acting.dispatcher.drain()
+            with contextlib.suppress(Deposed):
+                if not await self._hand_over(acting) and acting.dispatcher:
+                    await acting.dispatcher.drain()
 
     async def leave(self) -> None:
         """Have this host dropped as a backup before it stops."""
@@ -336,9 +338,13 @@
             await trio.sleep(TICK_S)
 
     async def _note_leave(self, sender: HostId, message: BackupLeaves) -> LeaveNoted:
-        self._leaving.add((message.data_centre, sender))
+        self._leaving[message.data_centre, sender] = now_s()
         return LeaveNoted()
 
+    def _leaves(self, data_centre: DataCentre, host: HostId) -> bool:
+        left_s = self._leaving.get((data_centre, host), float("-inf"))
+        return now_s() - left_s < LEFT_FOR_S
+
     async def _note_endpoints(
         self, sender: HostId, message: EndpointsKnown
     ) -> EndpointsNoted:
@@ -364,7 +370,6 @@
     async def _act(self, view: View, store: CopyStore) -> None:
         log = ReplicatedJobLog(view, store, self._peers, self._limits.copies)
         acting = _Acting(view, store, log, now_s())
-        self._leaving.clear()
         self._acting[view.data_centre] = acting
         try:
             async with trio.open_nursery() as nursery:
@@ -421,7 +426,7 @@
                 shared = names
 
     def _is_gone(self, acting: _Acting, backup: HostId) -> bool:
-        if (acting.view.data_centre, backup) in self._leaving:
+        if self._leaves(acting.view.data_centre, backup):
             return True
         silent_s = min(acting.log.silent_s(backup), now_s() - acting.begun_s)
         return silent_s > self._limits.drop_after_s or not acting.log.counts(backup)
@@ -435,13 +440,14 @@
         self, acting: _Acting, dispatcher: Dispatcher, host: HostId
     ) -> None:
         """Bring a host's copy up to date and propose it as the backup."""
+        if self._leaves(acting.view.data_centre, host):
+            return
         begun_s = now_s()
         acting.log.follow(host)
         while not acting.log.up_to_date(host):
             await trio.sleep(TICK_S / 4)
             silent_s = min(acting.log.silent_s(host), now_s() - begun_s)
-            left = (acting.view.data_centre, host) in self._leaving
-            if silent_s > self._limits.drop_after_s or left or self._draining:
+            if silent_s > self._limits.drop_after_s or self._draining:
                 acting.log.unfollow(host)
                 return
         number = Epoch(acting.view.number + 1)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -68,6 +68,9 @@
     def confirmed_age_s(self):
         return self.age_s
 
+    async def confirm(self):
+        await self.open.wait()
+
     async def commit(self, records):
         await self.open.wait()
         if self.fails:
@@ -243,6 +246,18 @@
     assert told.code is ResultCode.NOT_RUN_NO_PRIMARY
 
 
+async def test_not_run_is_said_only_by_who_is_sure_to_own_the_jobs(nursery, clock):
+    bench = Bench()
+    await nursery.start(bench.dispatcher.run)
+    bench.log.open = trio.Event()
+    with trio.move_on_after(5.0) as scope:
+        await bench.dispatcher.submit(a_submission())
+    assert scope.cancelled_caught
+    bench.log.open.set()
+    told = await bench.dispatcher.submit(a_submission())
+    assert told.code is ResultCode.NOT_RUN_IMPOSSIBLE
+
+
 async def test_a_running_state_is_told_only_once_acceptance_is_durable(nursery, clock):
     bench, job = Bench(), a_submission()
     await nursery.start(bench.dispatcher.run)
--- a/tests/test_replicated_job_log.py
+++ b/tests/test_replicated_job_log.py
@@ -68,8 +68,12 @@
         await log.commit([accepted(a_submission("a"))])
     assert scope.cancelled_caught
     assert log.confirmed_age_s() > 25.0
+    with trio.move_on_after(5.0) as scope:
+        await log.confirm()
+    assert scope.cancelled_caught
     pair.network.silent = False
     await log.commit([accepted(a_submission("b"))])
+    await log.confirm()
     await trio.sleep(1.0)
     assert jobs_of(backup) == ["valdres:a", "valdres:b"]
     assert log.confirmed_age_s() < 1.0
