--- a/currantwell/cli/__init__.py
+++ b/currantwell/cli/__init__.py
@@ -12,6 +12,7 @@
 from .load import load
 from .preset import preset
 from .quota import quota
+from .reference import reference
 from .settings import settings
 from .status import status
 from .token import token
@@ -35,6 +36,7 @@
     load,
     preset,
     quota,
+    reference,
     settings,
     status,
     token,
--- a/currantwell/leadership.py
+++ b/currantwell/leadership.py
@@ -160,7 +160,7 @@
             unix_s = self._client.calendar.unix_s()
             command = ActivatePreset(version, self._host, ground, unix_s)
             await self._client.propose(command)
-            events.PRESET_ACTIVATED.log(version=version, reason=ground)
+            events.PRESET_ACTIVATED.log(version=version, cause=ground)
 
     async def _repair_view(self, data_centre: DataCentre) -> None:
         view = self._state.image.views.get(data_centre)
@@ -172,7 +172,7 @@
             return
         fresh, reason = repaired
         if await self._client.propose_view(fresh, self._host, reason):
-            events.VIEW_REPAIRED.log(data_centre=data_centre, reason=reason)
+            events.VIEW_REPAIRED.log(data_centre=data_centre, cause=reason)
 
     async def _propose_first(self, data_centre: DataCentre) -> None:
         since_s = self._without_view.setdefault(data_centre, now_s())
--- a/currantwell/state_client.py
+++ b/currantwell/state_client.py
@@ -95,4 +95,4 @@
     try:
         yield
     except AgreementLost as error:
-        events.AGREEMENT_LOST.log(detail=str(error))
+        events.AGREEMENT_LOST.log(cause=str(error))
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -27,6 +27,7 @@
 from currantwell.state_image import HostRecord
 
 KEY = b"a key of tests"
+KEY_TEXT = "k" * 64 + "\n"
 
 
 class ListState:
@@ -121,9 +122,6 @@
             await trio.sleep(0.01)
 
 
-KEY_TEXT = "k" * 64 + "\n"
-
-
 def settings_file(folder: Path, text: str) -> Path:
     """Write a settings file beside a good key file and a tokens file."""
     (folder / "hosts.key").write_text(KEY_TEXT)
