Renew leases in shared rounds, four a second at most

Renewals that come within 0.25 s of each other now share a round, and a host counts the time to its next one from its last asking.

Seen red with four mutations of the sharing.

--- a/currantwell/control.py
+++ b/currantwell/control.py
@@ -28,6 +28,7 @@
 from .quotas import Quota
 from .settings_lease import RENEW_S, SettingsLease, preset_to_follow
 from .state_client import (
+    CONFIRM_EVERY_S,
     CONFIRM_TIMEOUT_S,
     SharedConfirm,
     StateClient,
@@ -38,6 +39,7 @@
 
 __all__ = ["Control"]
 
+RENEW_TIMEOUT_S = CONFIRM_EVERY_S + CONFIRM_TIMEOUT_S
 RETRY_S = 0.1
 REGISTER_CHECK_S = 5.0
 
@@ -202,8 +204,10 @@
     async def _renew_loop(self) -> None:
         while True:
             told = self.state.proposed_version
-            renewed = await self._renew(told)
-            with trio.move_on_after(RENEW_S if renewed else RETRY_S):
+            next_s = now_s() + RENEW_S
+            if not await self._renew(told):
+                next_s = now_s() + RETRY_S
+            with trio.move_on_after(max(0.0, next_s - now_s())):
                 while self.state.proposed_version == told:
                     await self._changed.wait()
 
@@ -220,7 +224,7 @@
                 self._lease.renew(asked_s, self.state.image.index)
                 return True
             message = Renew(proposed, self._echo)
-            reply = await self._peers.ask(leader, message, Renewed, CONFIRM_TIMEOUT_S)
+            reply = await self._peers.ask(leader, message, Renewed, RENEW_TIMEOUT_S)
         except (AgreementLost, PeerUnreachable):
             return False
         self._echo = reply.number
--- a/currantwell/state_client.py
+++ b/currantwell/state_client.py
@@ -9,7 +9,7 @@
 from . import events
 from .agreement import Agreement
 from .changes import Command, ProposeView, Verdict, encode_command
-from .clock import CalendarClock
+from .clock import CalendarClock, now_s
 from .codes import ResultCode
 from .errors import AgreementLost
 from .ids import HostId
@@ -22,7 +22,8 @@
     "agreement_lost_logged",
 ]
 
-CONFIRM_TIMEOUT_S = 0.4
+CONFIRM_TIMEOUT_S = 0.35
+CONFIRM_EVERY_S = 0.25
 
 
 class StateClient:
@@ -64,13 +65,23 @@
 
 
 class SharedConfirm:
-    """Confirms for many callers at once; each joins one that starts after its call."""
+    """Confirms for many callers at once; each joins one that starts after its call.
+
+    They start `CONFIRM_EVERY_S` apart at least, since each costs a round of messages
+    to all hosts.
+
+    Parameters
+    ----------
+    agreement : Agreement
+        The agreement.
+    """
 
     def __init__(self, agreement: Agreement) -> None:
         self._agreement = agreement
         self._lock = trio.Lock()
         self._started = 0
         self._confirmed = 0
+        self._next_s = float("-inf")
 
     async def confirm(self) -> None:
         """Return once the state holds all that was agreed before the call.
@@ -84,6 +95,8 @@
         async with self._lock:
             if self._confirmed > earlier:
                 return
+            await trio.sleep(max(0.0, self._next_s - now_s()))
+            self._next_s = now_s() + CONFIRM_EVERY_S
             self._started += 1
             await self._agreement.confirm(CONFIRM_TIMEOUT_S)
             self._confirmed = self._started
--- /dev/null
+++ b/tests/test_state_client.py
@@ -0,0 +1,65 @@
+import pytest
+import trio
+
+from currantwell.errors import AgreementLost
+from currantwell.state_client import SharedConfirm
+
+
+class SlowAgreement:
+    """Confirms what was agreed at the start of each round, a second later."""
+
+    def __init__(self):
+        self.rounds = 0
+        self.agreed = 0
+        self.lost = False
+
+    async def confirm(self, timeout_s):
+        self.rounds += 1
+        self.known = self.agreed
+        await trio.sleep(1)
+        if self.lost:
+            raise AgreementLost("no majority")
+
+
+async def test_a_caller_joins_only_a_round_that_starts_after_its_call(
+    nursery, autojump_clock
+):
+    agreement = SlowAgreement()
+    shared = SharedConfirm(agreement)
+    nursery.start_soon(shared.confirm)
+    await trio.sleep(0.5)
+    agreement.agreed = 7
+    async with trio.open_nursery() as callers:
+        for _ in range(5):
+            callers.start_soon(shared.confirm)
+    assert agreement.known == 7
+    assert agreement.rounds == 2
+
+
+async def test_a_lost_round_confirms_no_one(autojump_clock):
+    agreement = SlowAgreement()
+    shared = SharedConfirm(agreement)
+    agreement.lost = True
+    lost = []
+
+    async def ask():
+        with pytest.raises(AgreementLost):
+            await shared.confirm()
+        lost.append(agreement.rounds)
+
+    async with trio.open_nursery() as callers:
+        callers.start_soon(ask)
+        callers.start_soon(ask)
+    assert lost == [1, 2]
+    agreement.lost = False
+    await shared.confirm()
+
+
+async def test_rounds_are_spaced(nursery, autojump_clock):
+    agreement = SlowAgreement()
+    agreement.confirm = lambda timeout_s: trio.sleep(0)
+    shared = SharedConfirm(agreement)
+    began_s = trio.current_time()
+    for _ in range(5):
+        await shared.confirm()
+    assert trio.current_time() - began_s == pytest.approx(1.0)
