--- a/currantwell/endpoint_link.py
+++ b/currantwell/endpoint_link.py
@@ -8,7 +8,7 @@
 connection may have gone silent for good while new ones work.
 """
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Protocol
 
 import msgspec
@@ -31,7 +31,7 @@
 from .http_client import HttpClient
 from .ids import EndpointId, Epoch, Incarnation
 
-__all__ = ["EndpointLink", "LinkOwner"]
+__all__ = ["Connect", "EndpointLink", "Link", "LinkOwner"]
 
 REPLY_TIMEOUT_S = 1.0
 SILENCE_S = 4.0
@@ -69,8 +69,8 @@
         """Take in what an adopted endpoint holds."""
         ...
 
-    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> LeaseGrant:
-        """Take in a sign of life and return the lease granted."""
+    def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> LeaseGrant | None:
+        """Take in a sign of life and return the lease granted, if any."""
         ...
 
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
@@ -82,6 +82,25 @@
         ...
 
 
+class Link(Protocol):
+    """Carries starts and stops to one incarnation of an endpoint."""
+
+    def send(self, starts: Sequence[Start], stops: Sequence[AttemptRef] = ()) -> None:
+        """Queue starts and stops."""
+        ...
+
+    def close(self) -> None:
+        """Stop sending and listening."""
+        ...
+
+    async def run(self) -> None:
+        """Adopt the endpoint, then send and listen until closed."""
+        ...
+
+
+Connect = Callable[[EndpointId, Incarnation, str, Epoch, LinkOwner], Link]
+
+
 class EndpointLink:
     """Sends to one incarnation of an endpoint and listens to it.
 
@@ -284,8 +303,9 @@
 
     def _take_beat(self, beat: Beat) -> None:
         grant = self._owner.beat_arrived(self.endpoint, beat)
-        self._grant = msgspec.structs.replace(grant, acked_seq=self._acked_seq)
-        self._changed.set()
+        if grant is not None:
+            self._grant = msgspec.structs.replace(grant, acked_seq=self._acked_seq)
+            self._changed.set()
 
 
 def _line(message: StartStreamLine) -> bytes:
