--- a/currantwell/cli/__init__.py
+++ b/currantwell/cli/__init__.py
@@ -1,38 +1,46 @@
-"""The command line, over the high-level API alone."""
+"""The command line, over the high-level API alone.
+
+Each command is a module of its own with a function of the module's name, imported only
+when it is used, since some of them need much.
+"""
+
+import importlib
 
 import click
 
 from .. import __version__
-from .bench import bench
-from .demo import demo
-from .endpoint import endpoint
-from .host import host
-from .job import job
-from .load import load
-from .reference import reference
-from .settings import settings
-from .status import status
-from .token import token
 
 __all__ = ["main"]
 
+COMMANDS = (
+    "bench",
+    "demo",
+    "endpoint",
+    "host",
+    "job",
+    "load",
+    "reference",
+    "settings",
+    "status",
+    "token",
+)
+
+
+class _Commands(click.Group):
+    """All commands by name."""
+
+    def list_commands(self, context: click.Context) -> list[str]:
+        return sorted(COMMANDS)
 
-@click.group()
+    def get_command(self, context: click.Context, name: str) -> click.Command | None:
+        if name not in COMMANDS:
+            return None
+        module = importlib.import_module(f".{name}", __name__)
+        command: click.Command = getattr(module, name)
+        return command
+
+
+@click.group(cls=_Commands)
 @click.version_option(__version__)
 def main() -> None:
     """Dispatch sub-second tasks."""
-
-
-for _command in (
-    bench,
-    demo,
-    endpoint,
-    host,
-    job,
-    load,
-    reference,
-    settings,
-    status,
-    token,
-):
-    main.add_command(_command)
