--- a/currantwell/cli/__init__.py
+++ b/currantwell/cli/__init__.py
@@ -13,12 +13,15 @@
 __all__ = ["main"]
 
 COMMANDS = (
+    "audit",
     "bench",
     "demo",
     "endpoint",
     "host",
     "job",
     "load",
+    "preset",
+    "quota",
     "reference",
     "settings",
     "status",
