Show the agreed hosts and the recent changes in the status

Cause: the status knew of its own host alone and of no change.

Change: ControlStatus tells hosts with role and reachability, and the newest entries of the audit trail with who, when, what from, what to, why and outcome.

Seen to fail first, by breaking: order, a host that does not answer, outcome, leader.

--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -13,6 +13,7 @@
 from .clock import SystemCalendar
 from .control import Control
 from .control_plane import build_control_plane
+from .control_status import ControlStatus
 from .dispatch_policies import dispatch_scheduler
 from .dispatcher import Dispatcher, DispatcherLimits
 from .http_api import HttpApi, HttpParts
@@ -87,8 +88,9 @@
     ) -> HttpParts:
         own = self.settings
         tokens = own.tokens_file
+        known = ControlStatus(control)
         status = SystemStatus(
-            own.host, own.data_centre, dispatcher, control, dispatcher
+            own.host, own.data_centre, dispatcher, control, dispatcher, known, known
         )
         authenticator = load_tokens(tokens) if tokens else OpenAuthenticator()
         budget = BodyBudget(own.bodies_in_flight_bytes)
