--- a/currantwell/ids.py
+++ b/currantwell/ids.py
@@ -16,6 +16,7 @@
     "JobKey",
     "Operator",
     "Rack",
+    "StoreId",
     "Team",
     "check_name",
     "home_of",
@@ -32,6 +33,7 @@
 Operator = NewType("Operator", str)
 JobKey = NewType("JobKey", str)
 JobId = NewType("JobId", str)
+StoreId = NewType("StoreId", str)
 ChangeId = NewType("ChangeId", str)
 Epoch = NewType("Epoch", int)
 
--- /dev/null
+++ b/currantwell/job_services.py
@@ -0,0 +1,70 @@
+"""The services of a host that keep, run and find jobs, put together."""
+
+from .copy_store import CopyStores
+from .ids import DataCentre, HostId
+from .job_backup import JobBackup
+from .kernel import Service
+from .peers import PeerNetwork
+from .remote_gateway import ViewDirectory
+from .roles import BackupExit, MakeDispatcher, RoleLimits, Roles
+from .settings import HostSettings
+from .views import ViewSource
+
+__all__ = ["JobServices"]
+
+
+class JobServices:
+    """Roles, copies and the directory of owners of one host.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        Its settings.
+    views : ViewSource
+        The agreed views.
+    stores : CopyStores
+        Its copies.
+    peers : PeerNetwork
+        Reaches the other hosts.
+    make_dispatcher : callable
+        Makes the dispatcher of a data centre under an epoch.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        views: ViewSource,
+        stores: CopyStores,
+        peers: PeerNetwork,
+        make_dispatcher: MakeDispatcher,
+    ) -> None:
+        backup = JobBackup(stores, views)
+        backup.attach(peers)
+        hosts = _hosts(settings)
+        self.roles = Roles(
+            settings.host,
+            hosts,
+            views,
+            stores,
+            backup,
+            peers,
+            make_dispatcher,
+            RoleLimits(settings.copies),
+        )
+        self.directory = ViewDirectory(
+            settings.host, views, self.roles, peers, frozenset(hosts.values())
+        )
+        self._exit = BackupExit(self.roles)
+
+    def first(self) -> list[Service]:
+        """Return the services to register before the HTTP server."""
+        return [self._exit]
+
+    def last(self) -> list[Service]:
+        """Return the services to register after the HTTP server."""
+        return [self.directory, self.roles]
+
+
+def _hosts(settings: HostSettings) -> dict[HostId, DataCentre]:
+    peers = {host: peer.data_centre for host, peer in settings.peers.items()}
+    return {settings.host: settings.data_centre, **peers}
