Order jobs by size, bound waits for faster endpoints, drop prefetch

- Waiting for a faster endpoint gains response but makes short tasks wait.
Ordinary takes 0.05, peak 0.

--- a/currantwell/admission.py
+++ b/currantwell/admission.py
@@ -143,7 +143,9 @@
                 f"work that waits takes {wait_s:.1f} s, {queue_s:.1f} s are allowed",
                 retry_after_s=_retry_after_s(wait_s - queue_s),
             )
-        end_s = DEADLINE_SAFETY * (wait_s + self._alone_s(request, capacity))
+        fastest = max(load.speed for load in endpoints)
+        alone_s = self._alone_s(request, capacity, fastest)
+        end_s = DEADLINE_SAFETY * (wait_s + alone_s)
         left_s = request.deadline_s - now_s
         if end_s > left_s:
             return Refusal(
@@ -165,12 +167,12 @@
         share_s = backlog.team_work_s(team) * (own + others) / own
         return min(backlog.work_s, share_s) / capacity
 
-    def _alone_s(self, request: JobRequest, capacity: float) -> float:
+    def _alone_s(self, request: JobRequest, capacity: float, fastest: float) -> float:
         estimates = [
             self._estimates.estimate_s(spec.kind, spec.run_time_s)
             for spec in request.tasks
         ]
-        return max(max(estimates), sum(estimates) / capacity)
+        return max(max(estimates) / fastest, sum(estimates) / capacity)
 
 
 def _impossible_task(request: JobRequest, said: Sequence[Announcement]) -> int | None:
--- a/currantwell/bench_loads.py
+++ b/currantwell/bench_loads.py
@@ -33,7 +33,7 @@
 KINDS = tuple(0.06 * 1.5**step for step in range(7))
 OTHER_KIND_SHARE = 0.1
 TEAMS = 12
-SAMPLE_JOBS = 2_000
+STEP_S = 0.1
 WARM_UP_S = 10.0
 USUAL_DEADLINE_S = 30.0
 CREST_DEADLINE_S = 5.0
@@ -169,30 +169,38 @@
             factors,
         )
 
-    def mean_work_s(self) -> float:
-        """Return the mean work of a job, by drawing many."""
-        state = self.random.getstate()
-        works = [sum(self.job(0.0).run_s) for _ in range(SAMPLE_JOBS)]
-        self.random.setstate(state)
-        return sum(works) / len(works)
-
     def arrive(
         self,
         share: Callable[[float], float],
         end_s: float,
         team: str | None = None,
         tasks: int = 0,
-        work_s: float | None = None,
     ) -> None:
-        """Add jobs whose work is a share of the capacity that changes over time."""
-        mean_s = work_s or self.mean_work_s()
-        most = max(share(step * 0.1) for step in range(int(end_s * 10)))
-        rate = most * self.capacity / mean_s
-        at_s = self.random.expovariate(rate)
-        while at_s < end_s:
-            if self.random.random() < share(at_s) / most:
-                self.jobs.append(self.job(at_s, team, tasks))
-            at_s += self.random.expovariate(rate)
+        """Add jobs whose work together is a share of the capacity over time.
+
+        The work within the warm-up and that after it are what the share says,
+        whatever the seed, give or take the last job; when jobs arrive is drawn in
+        proportion to the share.
+        """
+        self._arrive(share, 0.0, WARM_UP_S, team, tasks)
+        self._arrive(share, WARM_UP_S, end_s, team, tasks)
+
+    def _arrive(
+        self,
+        share: Callable[[float], float],
+        begin_s: float,
+        end_s: float,
+        team: str | None,
+        tasks: int,
+    ) -> None:
+        times_s = [begin_s + STEP_S * i for i in range(int((end_s - begin_s) / STEP_S))]
+        shares = [share(time_s) for time_s in times_s]
+        left_s = sum(shares) * STEP_S * self.capacity
+        while left_s > 0:
+            at_s = self.random.choices(times_s, shares)[0]
+            job = self.job(at_s + self.random.uniform(0.0, STEP_S), team, tasks)
+            self.jobs.append(job)
+            left_s -= sum(job.run_s)
 
     def load(self, name: str, end_s: float) -> Load:
         """Return what was drawn."""
@@ -227,22 +235,21 @@
 def _short(maker: _Maker, long_share: float, seconds: float) -> None:
     """Single short tasks at a bit over a third of the capacity, long ones beside."""
     maker.long_share = 0.0
-    mean_s = maker.mean_work_s() / _mean_tasks(maker)
-    maker.arrive(lambda at_s: 0.35, seconds, tasks=1, work_s=mean_s)
-    if long_share:
-        shorts = len(maker.jobs)
-        maker.long_share = 1.0
-        longs = long_share / (1.0 - long_share) * shorts
-        mean_long_s = (MIN_LONG_S + MAX_LONG_S) / 2.0
-        share = longs * mean_long_s / seconds / maker.capacity
-        maker.arrive(lambda at_s: share, seconds, tasks=1, work_s=mean_long_s)
+    maker.arrive(lambda at_s: 0.35, seconds, tasks=1)
+    shorts = len(maker.jobs)
+    maker.long_share = 1.0
+    for _ in range(round(long_share / (1.0 - long_share) * shorts)):
+        at_s = maker.random.uniform(0.0, seconds)
+        maker.jobs.append(maker.job(at_s, tasks=1))
 
 
-def _mean_tasks(maker: _Maker) -> float:
-    state = maker.random.getstate()
-    tasks = [len(maker.job(0.0).tasks) for _ in range(SAMPLE_JOBS)]
-    maker.random.setstate(state)
-    return sum(tasks) / len(tasks)
+def _long_wave(maker: _Maker, seconds: float) -> None:
+    """Single short tasks, and at one moment more long ones than there are slots."""
+    _short(maker, 0.02, seconds)
+    maker.long_share = 1.0
+    slots = sum(worker.slots for worker in maker.workers)
+    for _ in range(2 * slots):
+        maker.jobs.append(maker.job(WARM_UP_S + 3.0, tasks=1))
 
 
 def _flood(maker: _Maker, flood_share: float, seconds: float) -> None:
@@ -294,6 +301,7 @@
     "twice": lambda maker, seconds: _overload(maker, 2.0, seconds),
     "short": lambda maker, seconds: _short(maker, 0.0, seconds),
     "mixed": lambda maker, seconds: _short(maker, 0.05, seconds),
+    "long-wave": _long_wave,
     "calm": lambda maker, seconds: _flood(maker, 0.0, seconds),
     "flood": lambda maker, seconds: _flood(maker, 3.0, seconds),
     "failing": _failing,
--- a/currantwell/endpoint_load.py
+++ b/currantwell/endpoint_load.py
@@ -76,18 +76,12 @@
         self._memory_mb = 0
         self._accelerators = 0
 
-    def free(self, prefetch: int = 0) -> int:
-        """Return how many more attempts it may be given.
-
-        Parameters
-        ----------
-        prefetch : int
-            Attempts it may be given beyond its slots, as far as it has a queue.
-        """
+    def free(self) -> int:
+        """Return how many more attempts it may be given."""
         said = self.announcement
         if said.draining or not self.reachable:
             return 0
-        most = said.slots + min(prefetch, said.queue)
+        most = said.slots
         if self.limit is not None:
             most = min(most, self.limit)
         return most - len(self.running)
--- a/currantwell/ordering.py
+++ b/currantwell/ordering.py
@@ -1,10 +1,10 @@
 """The order in which waiting tasks start.
 
-Teams over their share of recent use come after those within it. Among the jobs of
+Teams far over their share of recent use come after the others. Among the jobs of
 teams alike, each job has a fixed rank: the time of its arrival plus a multiple of
-the time that it would take alone. Short jobs thus pass long ones, and a long one
-waits for no job that arrived more than that multiple later. Within a job, longest
-tasks go first.
+its size, which is the geometric mean of the time that it would take alone and of
+its work. Small jobs thus pass large ones, and a large one waits for no job that
+arrived more than that multiple later. Within a job, longest tasks go first.
 """
 
 import dataclasses
@@ -25,6 +25,7 @@
 MIN_USE_S = 0.01
 LEVELS_PER_SHARE = 2.0
 MAX_PASSED = 16
+BURST_SHARES = 2.0
 
 _Stack = tuple[Shape, bool]
 
@@ -91,8 +92,7 @@
     quotas : QuotaSource or None
         Knows the weight of each team; None to ignore shares.
     stretch : float
-        What multiple of a job's time alone its rank adds; 0 for first come, first
-        served.
+        What multiple of a job's size its rank adds; 0 for first come, first served.
     longest_first : bool
         Whether the longest tasks of a job go first.
     """
@@ -121,7 +121,9 @@
         if self._longest_first:
             ordered.sort(key=_estimate_s)
         self._sequence += 1
-        job = _Job(now_s + self._stretch * alone_s, self._sequence, ordered)
+        size_s = math.sqrt(alone_s * work_s)
+        rank = now_s + self._stretch * size_s
+        job = _Job(rank, self._sequence, ordered)
         insort(self._queue(group[0].team).jobs, job)
         self._jobs.setdefault(group[0].job, []).append(job)
 
@@ -197,7 +199,7 @@
                 del self._teams[team]
         whole_s = USE_MEMORY_S * self._slots / max(1e-9, sum(weights.values()))
         for team, weight in weights.items():
-            self._teams[team].share_s = max(MIN_USE_S, weight * whole_s)
+            self._teams[team].share_s = max(MIN_USE_S, BURST_SHARES * weight * whole_s)
 
 
 class FifoOrdering(FairOrdering):
--- a/currantwell/placement.py
+++ b/currantwell/placement.py
@@ -15,11 +15,11 @@
 
 __all__ = ["TailAwarePlacement"]
 
-SLACK_SHARE = 0.85
+SLACK_SHARE = 0.7
 USUAL_RUN_S = 0.4
 RUN_MEMORY_TASKS = 200
-MIN_GAIN_S = 0.02
-WAIT_SAFETY = 2.0
+MIN_GAIN_S = 0.005
+WAIT_SAFETY = 4.0
 
 
 class TailAwarePlacement:
@@ -45,6 +45,7 @@
         self._long_left = 0
         self._capacity = 1.0
         self._waiters = 0
+        self._most_wait_s = 0.0
         self._endpoints: Sequence[EndpointLoad] = ()
 
     def begin(
@@ -59,6 +60,7 @@
             1.0, sum(load.announcement.slots * load.speed for load in usable)
         )
         self._waiters = 0
+        self._most_wait_s = preset.wait_faster_s
         self._endpoints = usable
 
     def choose(
@@ -81,8 +83,10 @@
             if slow is not None:
                 return Choice(slow, Reason.SLACK)
         fastest = room[0]
-        if self._wait_faster and self._sooner_elsewhere(task, fastest):
+        if self._may_wait(task, now_s) and self._sooner_elsewhere(task, fastest):
             self._waiters += 1
+            if task.passed_s is None:
+                task.passed_s = now_s
             return Choice(None, Reason.LATER_FASTER)
         return Choice(fastest, Reason.FASTEST)
 
@@ -100,6 +104,12 @@
                 return load
         return None
 
+    def _may_wait(self, task: WaitingTask, now_s: float) -> bool:
+        if not self._wait_faster:
+            return False
+        waited_s = 0.0 if task.passed_s is None else now_s - task.passed_s
+        return waited_s < self._most_wait_s
+
     def _sooner_elsewhere(self, task: WaitingTask, best: EndpointLoad) -> bool:
         """Tell whether waiting for a busy faster endpoint ends the task sooner."""
         here_s = task.estimate_s / best.speed
--- a/currantwell/presets.py
+++ b/currantwell/presets.py
@@ -25,6 +25,7 @@
 MIN_QUEUE_S = 0.5
 MAX_QUEUE_S = 60.0
 MIN_LONG_SHARE = 0.25
+MAX_WAIT_FASTER_S = 5.0
 
 
 class Preset(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -38,8 +39,8 @@
         Most seconds of waiting work per slot that admission lets in.
     long_share : float
         Largest share of slots that long tasks may hold while short ones wait.
-    prefetch : int
-        Starts sent to an endpoint beyond its free slots.
+    wait_faster_s : float
+        Longest time that a task waits for a faster endpoint while another has room.
     restarts_share : float
         Restarts allowed per useful start.
     """
@@ -47,14 +48,14 @@
     name: str
     queue_s: float
     long_share: float
-    prefetch: int
+    wait_faster_s: float
     restarts_share: float
 
 
-FLOOR = Preset("floor", MIN_QUEUE_S, MIN_LONG_SHARE, 0, 0.0)
-ORDINARY = Preset("ordinary", 10.0, 0.75, 0, 0.1)
-PEAK = Preset("peak", 4.0, 0.5, 1, 0.02)
-MAINTENANCE = Preset("maintenance", 1.0, 0.5, 0, 0.0)
+FLOOR = Preset("floor", MIN_QUEUE_S, MIN_LONG_SHARE, 0.0, 0.0)
+ORDINARY = Preset("ordinary", 10.0, 0.75, 0.05, 0.1)
+PEAK = Preset("peak", 4.0, 0.5, 0.0, 0.02)
+MAINTENANCE = Preset("maintenance", 1.0, 0.5, 0.0, 0.0)
 
 
 def check_preset(preset: Preset) -> Preset:
@@ -72,8 +73,10 @@
         )
     if not MIN_LONG_SHARE <= preset.long_share <= 1.0:
         raise InvalidRequest("long_share", f"is not between {MIN_LONG_SHARE} and 1")
-    if preset.prefetch < 0:
-        raise InvalidRequest("prefetch", "is negative")
+    if not 0.0 <= preset.wait_faster_s <= MAX_WAIT_FASTER_S:
+        raise InvalidRequest(
+            "wait_faster_s", f"is not between 0 and {MAX_WAIT_FASTER_S}"
+        )
     if not 0.0 <= preset.restarts_share <= 1.0:
         raise InvalidRequest("restarts_share", "is not between 0 and 1")
     return preset
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -37,6 +37,7 @@
 
 LONG_TASK_S = 2.0
 BUDGET_PAUSE_S = 0.1
+HEADROOM_SHARE = 0.1
 RAN_CODES = frozenset({ResultCode.COMPLETE, ResultCode.TASK_FAILED})
 REFUSED_CODES = frozenset({ResultCode.NOT_RUN_OVERLOADED})
 
@@ -164,10 +165,7 @@
         preset = self._presets.preset()
         ordered = sorted(self._endpoints.values(), key=_slowness)
         self._limit(ordered, now_s)
-        room = [load for load in ordered if load.free(preset.prefetch) > 0]
-        if not room:
-            return []
-        return self._match(ordered, room, preset, now_s)
+        return self._match(ordered, preset, now_s)
 
     def ended(
         self, ref: AttemptRef, code: ResultCode, run_s: float, now_s: float
@@ -236,15 +234,18 @@
     def _match(
         self,
         ordered: Sequence[EndpointLoad],
-        room: list[EndpointLoad],
         preset: Preset,
         now_s: float,
     ) -> list[PlacedTask]:
+        room = [load for load in ordered if load.free() > 0]
+        if not room:
+            return []
         policies = self._policies
         policies.placement.begin(ordered, preset, now_s)
         slots = sum(load.announcement.slots for load in ordered)
         placed: list[PlacedTask] = []
         blocked: set[Shape] = set()
+        left = sum(load.free() for load in room) - int(HEADROOM_SHARE * slots)
         for task in policies.ordering.candidates(slots, now_s):
             if task.deadline_s <= now_s or task.shape in blocked:
                 continue
@@ -253,12 +254,15 @@
                 blocked.add(task.shape)
                 self._decisions.waits(task, Reason.NO_ROOM)
                 continue
+            if len(placed) >= left and policies.ordering.over_share(task):
+                self._decisions.waits(task, Reason.OVER_SHARE)
+                continue
             choice = policies.placement.choose(task, fitting, now_s)
             if choice.endpoint is None:
                 self._decisions.waits(task, choice.reason)
                 continue
             placed.append(self._place(task, choice.endpoint, choice.reason, now_s))
-            if choice.endpoint.free(preset.prefetch) <= 0:
+            if choice.endpoint.free() <= 0:
                 room.remove(choice.endpoint)
                 if not room:
                     break
@@ -279,6 +283,7 @@
         if task.attempt <= 1:
             self._policies.retries.earn(task, self._presets.preset().restarts_share)
         if task.group is not None:
+            task.group.tasks -= 1
             task.group.work_s -= task.estimate_s
             end_s = now_s + task.estimate_s / load.speed
             task.group.end_s = max(task.group.end_s, end_s)
@@ -303,6 +308,7 @@
     ) -> WaitingTask:
         spec = request.tasks[index]
         estimate_s = self._policies.estimates.estimate_s(spec.kind, spec.run_time_s)
+        group.tasks += 1
         group.work_s += estimate_s
         group.longest_s = max(group.longest_s, estimate_s)
         return WaitingTask(
--- a/currantwell/status_page.py
+++ b/currantwell/status_page.py
@@ -50,7 +50,7 @@
     rows = [
         ("waiting work let in per slot", f"{preset.queue_s} s"),
         ("share of slots for long tasks", preset.long_share),
-        ("starts beyond free slots", preset.prefetch),
+        ("longest wait for a faster endpoint, s", preset.wait_faster_s),
         ("restarts per useful start", preset.restarts_share),
     ]
     return _table(f"Preset in force: {preset.name}", ("rule", "value"), rows)
--- a/currantwell/waiting.py
+++ b/currantwell/waiting.py
@@ -46,6 +46,8 @@
         Its team.
     since_s : float
         When it was queued.
+    tasks : int
+        How many of its tasks wait.
     work_s : float
         Estimated run time of its waiting tasks together.
     longest_s : float
@@ -57,6 +59,7 @@
     job: JobId
     team: Team
     since_s: float
+    tasks: int = 0
     work_s: float = 0.0
     longest_s: float = 0.0
     end_s: float = 0.0
@@ -86,6 +89,8 @@
         What it needs of an endpoint; tasks of one shape fit the same endpoints.
     started_s : float
         When it was placed, if it was.
+    passed_s : float or None
+        Since when it waits although some endpoint has room for it.
     """
 
     job: JobId
@@ -100,6 +105,7 @@
     group: JobGroup | None = None
     shape: Shape = (1.0, 0, 0, None, None)
     started_s: float = 0.0
+    passed_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -73,7 +73,7 @@
         "name": "own",
         "queue_s": 2.0,
         "long_share": 0.5,
-        "prefetch": 0,
+        "wait_faster_s": 0.0,
         "restarts_share": 0.0,
     }
     told = await desk.change("PUT", "presets/own", preset=own)
