--- a/currantwell/bench.py
+++ b/currantwell/bench.py
@@ -5,7 +5,9 @@
 import random
 import statistics
 from collections.abc import Callable, Sequence
+from typing import Any
 
+from .admission import AdmitAll, TimelyAdmission
 from .baselines import (
     LeastLoaded,
     PowerOfTwoChoices,
@@ -15,14 +17,29 @@
 )
 from .bench_loads import WARM_UP_S, Load, make_load
 from .bench_run import JobOutcome, RunFigures, run_load
+from .budgets import UnlimitedBudget
 from .codes import ResultCode
 from .dispatch_policies import dispatch_policies
+from .ejection import NoEjection
+from .estimates import DeclaredEstimates
 from .ideal import ideal_response_s
+from .ordering import FairOrdering
+from .placement import TailAwarePlacement
+from .policies import Ordering, Placement
 from .presets import ORDINARY, FixedPreset, Preset
 from .quotas import EqualQuotas
 from .scheduler import Policies, Scheduler
-
-__all__ = ["POLICIES", "Measures", "Summary", "measure", "run_bench", "table"]
+from .stragglers import NoRestarts
+
+__all__ = [
+    "ABLATIONS",
+    "POLICIES",
+    "Measures",
+    "Summary",
+    "measure",
+    "run_bench",
+    "table",
+]
 
 SHORT_TASK_S = 1.0
 
@@ -42,6 +59,54 @@
 }
 
 
+def _without(**changes: Any) -> PolicyMaker:
+    """Return a maker of the host's policies with some replaced by plain ones."""
+
+    def make(preset: Preset, source: random.Random) -> Policies:
+        return dataclasses.replace(_own(preset, source), **changes)
+
+    return make
+
+
+def _without_estimates(preset: Preset, source: random.Random) -> Policies:
+    policies = _own(preset, source)
+    declared = DeclaredEstimates()
+    admission = TimelyAdmission(declared, FixedPreset(preset), EqualQuotas())
+    return dataclasses.replace(policies, estimates=declared, admission=admission)
+
+
+def _with_ordering(make_ordering: Callable[[], Ordering]) -> PolicyMaker:
+    def make(preset: Preset, source: random.Random) -> Policies:
+        return dataclasses.replace(_own(preset, source), ordering=make_ordering())
+
+    return make
+
+
+def _with_placement(make_placement: Callable[[], Placement]) -> PolicyMaker:
+    def make(preset: Preset, source: random.Random) -> Policies:
+        return dataclasses.replace(_own(preset, source), placement=make_placement())
+
+    return make
+
+
+ABLATIONS: dict[str, PolicyMaker] = {
+    "no-learnt-estimates": _without_estimates,
+    "no-ranks": _with_ordering(lambda: FairOrdering(EqualQuotas(), stretch=0.0)),
+    "no-shares": _with_ordering(lambda: FairOrdering(None)),
+    "no-longest-first": _with_ordering(
+        lambda: FairOrdering(EqualQuotas(), longest_first=False)
+    ),
+    "no-tail-placement": _with_placement(LeastLoaded),
+    "no-slack": _with_placement(lambda: TailAwarePlacement(use_slack=False)),
+    "no-wait-faster": _with_placement(lambda: TailAwarePlacement(wait_faster=False)),
+    "no-long-share": _with_placement(lambda: TailAwarePlacement(cap_long=False)),
+    "no-admission": _without(admission=AdmitAll()),
+    "no-ejection": _without(ejection=NoEjection()),
+    "no-retry-budget": _without(retries=UnlimitedBudget()),
+    "no-restarts": _without(stragglers=NoRestarts()),
+}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Measures:
     """The measures of one run.
@@ -130,7 +195,7 @@
     return Measures(
         ratio_mean=_mean(ratios),
         ratio_p99=_percentile(ratios, 0.99),
-        busy=figures.busy_s / slots / load.end_s,
+        busy=figures.busy_s / slots / max(load.end_s, figures.end_s),
         wasted=figures.wasted / max(1, figures.useful),
         in_time=sum(o.in_time for o in kept) / max(1, len(kept)),
         accepted=len(accepted) / max(1, len(counted)),
--- a/currantwell/bench_run.py
+++ b/currantwell/bench_run.py
@@ -61,6 +61,7 @@
     stops: int = 0
     restarts: int = 0
     busy_s: float = 0.0
+    end_s: float = 0.0
     waits_s: list[tuple[float, float, float]] = dataclasses.field(default_factory=list)
     starts_by_worker: collections.Counter[EndpointId] = dataclasses.field(
         default_factory=collections.Counter
@@ -345,6 +346,7 @@
         del self._open[ref.job]
         outcome = job.outcome
         outcome.code = ResultCode.COMPLETE
+        self.figures.end_s = self.clock.now_s
         outcome.response_s = self.clock.now_s + COMMIT_S - outcome.job.at_s
 
     # Ticks and losses.
--- a/currantwell/cli/bench.py
+++ b/currantwell/cli/bench.py
@@ -2,7 +2,7 @@
 
 import click
 
-from ..bench import POLICIES, run_bench, table
+from ..bench import ABLATIONS, POLICIES, run_bench, table
 from ..bench_loads import LOADS
 from ..presets import MAINTENANCE, ORDINARY, PEAK
 
@@ -10,6 +10,8 @@
 
 PRESETS = {preset.name: preset for preset in (ORDINARY, PEAK, MAINTENANCE)}
 
+ALL = {**POLICIES, **ABLATIONS}
+
 
 @click.group()
 def bench() -> None:
@@ -18,7 +20,7 @@
 
 @bench.command("run")
 @click.argument("loads", nargs=-1, type=click.Choice(sorted(LOADS)))
-@click.option("--policy", "names", multiple=True, type=click.Choice(list(POLICIES)))
+@click.option("--policy", "names", multiple=True, type=click.Choice(list(ALL)))
 @click.option("--seeds", default=3, show_default=True, help="How many seeds.")
 @click.option("--seconds", default=30.0, show_default=True, help="Length of a load.")
 @click.option("--preset", default="ordinary", type=click.Choice(sorted(PRESETS)))
@@ -30,7 +32,7 @@
     preset: str,
 ) -> None:
     """Run LOADS, all if none is named, and print a table of each."""
-    policies = {name: POLICIES[name] for name in names or POLICIES}
+    policies = {name: ALL[name] for name in names or POLICIES}
     for load in loads or tuple(LOADS):
         results = run_bench(load, policies, range(seeds), seconds, PRESETS[preset])
         click.echo(table(load, results) + "\n")
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -20,6 +20,7 @@
 from currantwell.clock import SystemCalendar
 from currantwell.codes import ResultCode
 from currantwell.control import Control
+from currantwell.endpoint_load import EndpointLoad
 from currantwell.endpoint_protocol import Announcement, AttemptRef
 from currantwell.errors import AgreementLost, PeerUnreachable
 from currantwell.ids import (
@@ -37,6 +38,7 @@
 from currantwell.records import AttemptEnded, AttemptStarted, JobAccepted
 from currantwell.state_image import HostRecord
 from currantwell.submission import RestartRule, Submission, TaskSpec, digest_of
+from currantwell.waiting import WaitingTask
 
 KEY = b"a key of tests"
 KEY_TEXT = "k" * 64 + "\n"
@@ -295,3 +297,16 @@
         DATA_CENTRE,
         slots=slots,
     )
+
+
+def waiting_task(job="job", team="team", task=0, attempt=1, estimate_s=0.2, **spec):
+    """A task as the scheduler sees it."""
+    made = TaskSpec(spec.pop("kind", "check-in"), **spec)
+    return WaitingTask(job, team, task, attempt, made, 1e9, 0.0, estimate_s)
+
+
+def endpoint_load(name, speed=1.0, **said):
+    """An endpoint as the scheduler sees it, empty."""
+    load = EndpointLoad(Announcement(name, "first", "", "valdres", **said))
+    load.speed = speed
+    return load
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,34 @@
+"""Budgets of retries."""
+
+import random
+
+from currantwell.budgets import MAX_TOKENS, TOKENS_PER_S, TokenBudget
+from tests.builders import waiting_task
+
+
+def test_a_team_out_of_tokens_waits_and_others_do_not():
+    budget = TokenBudget(random.Random(1))
+    task, other = waiting_task(team="a"), waiting_task(team="b")
+    taken = sum(budget.take(task, 0.0) for _ in range(500))
+    assert taken == MAX_TOKENS
+    assert budget.take(other, 0.0)
+    assert budget.take(task, 1.0 / TOKENS_PER_S)
+
+
+def test_first_starts_earn_their_share_of_retries():
+    budget = TokenBudget(random.Random(1))
+    task = waiting_task()
+    while budget.take(task, 0.0):
+        pass
+    for _ in range(100):
+        budget.earn(task, 0.1)
+    assert sum(budget.take(task, 0.0) for _ in range(50)) in (9, 10)
+
+
+def test_backoff_doubles_with_jitter_from_the_source():
+    budget = TokenBudget(random.Random(1))
+    waits = [budget.backoff_s(waiting_task(attempt=n)) for n in (2, 3, 4, 5, 30)]
+    assert waits == sorted(waits)
+    assert waits[-1] <= 2.0
+    again = TokenBudget(random.Random(1))
+    assert waits[0] == again.backoff_s(waiting_task(attempt=2))
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,69 @@
+"""Where tasks go."""
+
+import msgspec
+import pytest
+
+from currantwell.placement import TailAwarePlacement
+from currantwell.policies import Reason
+from currantwell.presets import ORDINARY
+from currantwell.waiting import JobGroup
+from tests.builders import endpoint_load, waiting_task
+
+FAST, USUAL, SLOW = 2.0, 1.0, 0.5
+
+
+@pytest.fixture
+def loads():
+    speeds = (FAST, USUAL, SLOW)
+    return [endpoint_load(f"e{index}", speed) for index, speed in enumerate(speeds)]
+
+
+def choose(loads, task, room=None, preset=ORDINARY, now_s=0.0, placement=None):
+    placement = placement or TailAwarePlacement()
+    placement.begin(loads, preset, now_s)
+    return placement.choose(task, room or loads, now_s)
+
+
+def in_job(task, longest_s):
+    task.group = JobGroup("job", "team", 0.0, 1, task.estimate_s, longest_s)
+    return task
+
+
+def test_the_longest_task_goes_to_the_fastest(loads):
+    task = in_job(waiting_task(estimate_s=2.0), longest_s=2.0)
+    choice = choose(loads, task)
+    assert (choice.endpoint.speed, choice.reason) == (FAST, Reason.FASTEST)
+
+
+def test_a_task_with_slack_leaves_the_fast_ones_free(loads):
+    task = in_job(waiting_task(estimate_s=0.1), longest_s=4.0)
+    choice = choose(loads, task)
+    assert (choice.endpoint.speed, choice.reason) == (SLOW, Reason.SLACK)
+
+
+def test_a_critical_task_waits_for_a_faster_endpoint_but_not_for_long(loads):
+    placement = TailAwarePlacement()
+    task = in_job(waiting_task(estimate_s=5.0), longest_s=5.0)
+    room = [loads[2]]
+    first = choose(loads, task, room, placement=placement)
+    assert first.reason is Reason.LATER_FASTER
+    later_s = ORDINARY.wait_faster_s + 0.001
+    second = choose(loads, task, room, now_s=later_s, placement=placement)
+    assert second.endpoint is loads[2]
+
+
+def test_a_preset_without_waits_takes_what_has_room(loads):
+    preset = msgspec.structs.replace(ORDINARY, wait_faster_s=0.0)
+    task = in_job(waiting_task(estimate_s=5.0), longest_s=5.0)
+    assert choose(loads, task, [loads[2]], preset).endpoint is loads[2]
+
+
+def test_long_tasks_hold_no_more_than_their_share(loads):
+    preset = msgspec.structs.replace(ORDINARY, long_share=0.25)
+    task = in_job(waiting_task(estimate_s=5.0), longest_s=5.0)
+    task.long = True
+    placement = TailAwarePlacement()
+    placement.begin(loads, preset, 0.0)
+    choices = [placement.choose(task, loads, 0.0) for _ in range(8)]
+    assert sum(choice.endpoint is not None for choice in choices) == 6
+    assert choices[-1].reason is Reason.LONG_SHARE
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,139 @@
+"""The scheduler with the policies of a host."""
+
+import random
+
+import pytest
+
+from currantwell.codes import ResultCode
+from currantwell.dispatch_policies import dispatch_scheduler
+from currantwell.endpoint_protocol import Announcement
+from currantwell.presets import FixedPreset
+from currantwell.quotas import EqualQuotas
+from currantwell.submission import RestartRule, TaskSpec
+from currantwell.waiting import JobRequest
+
+
+@pytest.fixture
+def scheduler():
+    made = dispatch_scheduler(FixedPreset(), EqualQuotas(), random.Random(1))
+    announce(made, "e")
+    return made
+
+
+def announce(scheduler, endpoint, **said):
+    announcement = Announcement(endpoint, "first", "", "valdres", **said)
+    scheduler.endpoint_announced(announcement, 0.0)
+
+
+def add(scheduler, job="job", tasks=1, attempt=1, now_s=0.0, **spec):
+    specs = tuple(TaskSpec("check-in", **spec) for _ in range(tasks))
+    request = JobRequest(job, "team", specs, 60.0)
+    scheduler.add(request, {index: attempt for index in range(tasks)}, now_s)
+    return request
+
+
+def earn_trust(scheduler):
+    """Let the endpoint succeed until it is given all its slots."""
+    for turn in range(12):
+        add(scheduler, f"trust-{turn}", tasks=8)
+        for placed in scheduler.plan(0.0):
+            scheduler.ended(placed.ref, ResultCode.COMPLETE, 0.2, 0.0)
+        scheduler.remove(f"trust-{turn}")
+
+
+def test_a_new_endpoint_is_tried_gently(scheduler):
+    add(scheduler, tasks=8)
+    assert len(scheduler.plan(0.0)) == 2
+
+
+def test_no_more_starts_than_slots(scheduler):
+    earn_trust(scheduler)
+    add(scheduler, tasks=20)
+    placed = scheduler.plan(0.0)
+    assert len(placed) == 8
+    assert scheduler.plan(0.0) == []
+    scheduler.ended(placed[0].ref, ResultCode.COMPLETE, 0.2, 0.1)
+    assert len(scheduler.plan(0.1)) == 1
+
+
+def test_held_memory_is_not_given_twice(scheduler):
+    earn_trust(scheduler)
+    add(scheduler, tasks=3, memory_mb=30_000)
+    assert len(scheduler.plan(0.0)) == 2
+
+
+def test_a_task_that_fits_nowhere_holds_up_no_other(scheduler):
+    add(scheduler, "stuck", tasks=40, memory_mb=100_000)
+    add(scheduler, "small")
+    assert [placed.task.job for placed in scheduler.plan(0.0)] == ["small"]
+
+
+@pytest.mark.parametrize("state", ["draining", "unreachable", "removed"])
+def test_an_endpoint_that_leaves_gets_no_start(scheduler, state):
+    if state == "draining":
+        announce(scheduler, "e", draining=True)
+    elif state == "unreachable":
+        scheduler.endpoint_reachable("e", False)
+    else:
+        scheduler.endpoint_removed("e")
+    add(scheduler)
+    assert scheduler.plan(0.0) == []
+
+
+def test_a_retry_waits_for_its_backoff(scheduler):
+    add(scheduler, attempt=2)
+    assert scheduler.plan(0.0) == []
+    assert len(scheduler.plan(1.0)) == 1
+
+
+def test_a_removed_job_starts_nothing(scheduler):
+    add(scheduler)
+    add(scheduler, "retried", attempt=2)
+    scheduler.remove("job")
+    scheduler.remove("retried")
+    assert scheduler.plan(5.0) == []
+    assert scheduler.waiting_tasks == 0
+
+
+def test_a_job_past_its_deadline_is_told_once_and_not_started(scheduler):
+    add(scheduler)
+    assert scheduler.plan(60.0) == []
+    assert scheduler.expired(60.0) == ["job"]
+    assert scheduler.expired(61.0) == []
+
+
+def test_attempts_found_at_an_endpoint_take_its_slots(scheduler):
+    earn_trust(scheduler)
+    add(scheduler, tasks=8)
+    for placed in scheduler.plan(0.0):
+        scheduler.hold(placed.ref, "e", placed.task)
+    scheduler.endpoint_removed("e")
+    announce(scheduler, "e")
+    add(scheduler, "more")
+    assert scheduler.plan(0.0) == []
+
+
+def test_only_idempotent_stragglers_are_picked_and_only_once(scheduler):
+    earn_trust(scheduler)
+    for turn in range(30):
+        add(scheduler, f"usual-{turn}", tasks=8)
+        for placed in scheduler.plan(0.0):
+            scheduler.stragglers(0.0)
+            scheduler.ended(placed.ref, ResultCode.COMPLETE, 0.2, 0.0)
+    add(scheduler, "never", restart=RestartRule.NEVER)
+    add(scheduler, "again", restart=RestartRule.IF_OVER)
+    assert len(scheduler.plan(0.0)) == 2
+    assert scheduler.stragglers(0.3) == []
+    assert [ref.job for ref in scheduler.stragglers(30.0)] == ["again"]
+    assert scheduler.stragglers(30.1) == []
+
+
+def test_decisions_are_explained(scheduler):
+    add(scheduler, "placed")
+    add(scheduler, "waits", memory_mb=100_000)
+    scheduler.plan(0.0)
+    assert "placed at e" in scheduler.explain("placed")[0]
+    assert "no endpoint with room fits" in scheduler.explain("waits")[0]
+    refused = JobRequest("refused", "team", (TaskSpec("x"),), 0.1)
+    assert scheduler.admit(refused, 0.0) is not None
+    assert "NOT_RUN_DEADLINE" in scheduler.explain("refused")[0]
