--- a/currantwell/job_copy.py
+++ b/currantwell/job_copy.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from .ids import DataCentre, Epoch, StoreId
+from .ids import DataCentre, Epoch, HostId, StoreId
 from .jobs import JobTable
 from .peers import PeerMessage
 from .records import Record, decode_record, encode_record
@@ -224,6 +224,16 @@
         """
         return self.counts_in(view) and self.joined < view.number
 
+    def may_follow_alone(self, view: View, host: HostId) -> bool:
+        """Tell whether a host may vouch for its copy in a view that it did not propose.
+
+        What was told in the view before stands on each copy that counted in it, so
+        that one of them alone may follow.
+        """
+        before = Epoch(view.number - 1)
+        alone = view.primary == host and view.backup is None
+        return alone and self.joined <= before and self.counts_in_number(before)
+
     def counts_in_number(self, number: Epoch) -> bool:
         """Tell whether the copy counts in some view of a number."""
         return any(view.number == number for view in self.vouched)
--- a/currantwell/roles.py
+++ b/currantwell/roles.py
@@ -248,17 +248,11 @@
             await trio.sleep(TICK_S)
 
     async def _vouch_by_rule(self, view: View, store: CopyStore) -> None:
-        """Vouch for this host's copy where no one else had to.
-
-        In view 1 nothing is told; and what was told in the view before this one
-        stands on each copy that counted in it, so that one of them alone may follow.
-        """
+        """Vouch for this host's copy where no one else had to."""
         copy = store.copy
         if view.number == FIRST and not copy.counts_in(self._alone_after(view)):
             await self._vouch_first(view, store)
-        before = Epoch(view.number - 1)
-        alone = view == View(view.data_centre, view.number, self._host)
-        if alone and copy.joined <= before and copy.counts_in_number(before):
+        if copy.may_follow_alone(view, self._host):
             await store.write([ViewVouched(view)])
 
     async def _vouch_first(self, view: View, store: CopyStore) -> None:
--- a/tests/test_job_copy.py
+++ b/tests/test_job_copy.py
@@ -101,29 +101,43 @@
     def begin(self):
         for node in self.nodes.values():
             node.boot()
-        first = self.nodes["a"]
-        view = View(DC, Epoch(1), first.id)
-        first.write(ViewVouched(view))
-        self.views.append(view)
+        self.views.append(View(DC, Epoch(1), HostId("a"), HostId("b")))
+        self.learn("a")
+        self.go_on_alone("a")
         self.learn("a")
         self.start("a", 0)
         self.add_backup("a", "b")
 
     def learn(self, host):
-        node, view = self.nodes[host], self.newest
-        if node.copy is None or node.known == view:
+        """Learn all views up to the newest, one after another."""
+        node = self.nodes[host]
+        while node.copy is not None and node.known != self.newest:
+            self.learn_next(node)
+
+    def learn_next(self, node):
+        if node.copy is None or node.known == self.newest:
             return
+        view = self.views[node.known.number if node.known else 0]
         node.known, node.primary, node.open = view, None, False
         node.sending = {}
-        if host == view.primary and node.copy.may_act(view):
+        alone = View(DC, Epoch(view.number + 1), node.id)
+        named = node.id in (view.primary, view.backup)
+        if view.number == 1 and named and self.is_confirmed(view):
+            node.write(ViewVouched(alone))
+        if node.copy.may_follow_alone(view, node.id):
+            node.write(ViewVouched(view))
+        if node.id == view.primary and node.copy.may_act(view):
             node.write(ViewJoined(view.number))
             assert self.actors.setdefault(view.number, node.copy) is node.copy
             node.primary = JobPrimary(node.copy, view)
             node.first_seq = node.primary.begin()
             self.work(node)
-        elif host == view.backup and node.copy.joined < view.number:
+        elif node.id == view.backup and node.copy.joined < view.number:
             node.write(ViewJoined(view.number))
 
+    def is_confirmed(self, view):
+        return view == self.newest
+
     def work(self, node):
         """Sync, then carry out what is committed."""
         primary = node.primary
@@ -152,7 +166,10 @@
 
     def propose(self, node, backup):
         view = node.known
-        if view is None or not node.copy.counts_in(view):
+        if view is None:
+            return
+        alone = View(DC, Epoch(view.number + 1), node.id)
+        if not node.copy.counts_in(alone if view.number == 1 else view):
             return
         following = View(DC, Epoch(view.number + 1), node.id, backup)
         node.write(ViewVouched(following))
@@ -177,6 +194,9 @@
             target.write(*decision.changes)
         target.copy.apply_to_table(decision.committed)
         reply = target.copy.reply(decision.outcome)
+        joined = [c.number for c in target.disk if isinstance(c, ViewJoined)]
+        if reply.outcome is not CopyOutcome.REFUSED:
+            assert message.view >= max(joined, default=0), "leases rest on this"
         if sender.primary is primary is not None:
             primary.on_reply(to, message, reply)
             if primary.deposed:
@@ -199,6 +219,18 @@
     def host_learns(self, host):
         self.learn(host)
 
+    @rule(host=host_ids)
+    def host_learns_one(self, host):
+        self.learn_next(self.nodes[host])
+
+    @rule(primary=st.booleans())
+    def passed_over(self, primary):
+        """Others agree on a view without one of the two members."""
+        view = self.newest
+        if view.backup is not None and view.number > 1:
+            left = view.backup if primary else view.primary
+            self.views.append(View(DC, Epoch(view.number + 1), left))
+
     def start(self, host, task):
         """Start a task unless its start stands in the log."""
         node, job = self.nodes[host], JobId(str(task))
@@ -250,7 +282,7 @@
         """The backup takes over; the primary may not have heard of it."""
         host = self.newest.backup
         node = self.nodes[host] if host else None
-        if node is None or node.copy is None or not node.copy.counts_in(self.newest):
+        if node is None or node.copy is None:
             return
         old = self.newest.primary
         self.learn(host)
@@ -355,6 +387,11 @@
         return self.counts_in(view)
 
 
+class Unconfirmed(World):
+    def is_confirmed(self, view):
+        return True
+
+
 class EmptyCounts(JobCopy):
     def counts_in(self, view):
         return True
@@ -384,6 +421,7 @@
     "wrong",
     [
         EarlyReply,
+        Unconfirmed,
         variant(TakesOldViews),
         variant(SameEpochAgain),
         variant(EmptyCounts),
