--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -13,6 +13,7 @@
 from .clock import SystemCalendar
 from .control import Control
 from .control_plane import build_control_plane
+from .control_status import ControlStatus
 from .copy_store import CopyStores
 from .dispatch_policies import dispatch_scheduler
 from .dispatcher import Dispatcher, DispatcherLimits
@@ -100,7 +101,10 @@
     def _http_parts(self, gateway: JobGateway, control: Control) -> HttpParts:
         own = self.settings
         tokens = own.tokens_file
-        status = SystemStatus(own.host, own.data_centre, gateway, control, self)
+        known = ControlStatus(control)
+        status = SystemStatus(
+            own.host, own.data_centre, gateway, control, self, known, known
+        )
         authenticator = load_tokens(tokens) if tokens else OpenAuthenticator()
         budget = BodyBudget(own.bodies_in_flight_bytes)
         admin = AdminApi(control, authenticator, budget)
