--- a/currantwell/copy_store.py
+++ b/currantwell/copy_store.py
@@ -10,20 +10,19 @@
 import msgspec
 import trio
 
-from .errors import Deposed
-from .ids import DataCentre, Epoch, StoreId
-from .job_copy import (
+from .copy_messages import (
     AppendRecords,
     CopyChange,
     CopyOutcome,
     CopyReply,
-    Decision,
     InstallChunk,
-    JobCopy,
     Run,
     StoreMade,
     Vouch,
 )
+from .errors import Deposed
+from .ids import DataCentre, Epoch, StoreId
+from .job_copy import Decision, JobCopy
 from .journal import Journal
 
 __all__ = ["CopyStore", "CopyStores"]
--- a/currantwell/job_backup.py
+++ b/currantwell/job_backup.py
@@ -5,9 +5,9 @@
 """
 
 from .clock import now_s
+from .copy_messages import AppendRecords, CopyOutcome, CopyReply, InstallChunk, Vouch
 from .copy_store import CopyStores
 from .ids import DataCentre, HostId
-from .job_copy import AppendRecords, CopyOutcome, CopyReply, InstallChunk, Vouch
 from .peers import PeerNetwork
 from .views import ViewSource
 
--- a/currantwell/job_copy.py
+++ b/currantwell/job_copy.py
@@ -12,160 +12,33 @@
 """
 
 import dataclasses
-import enum
 from collections.abc import Iterator, Sequence
 
-import msgspec
-
-from .ids import DataCentre, Epoch, HostId, StoreId
+from .copy_messages import (
+    CHUNK_BYTES,
+    NOTHING,
+    START,
+    AppendRecords,
+    BaseBegun,
+    BaseRecords,
+    CopyChange,
+    CopyOutcome,
+    CopyReply,
+    InstallChunk,
+    Position,
+    Run,
+    StoreMade,
+    Truncated,
+    ViewJoined,
+    ViewVouched,
+    Vouch,
+)
+from .ids import Epoch, HostId, StoreId
 from .jobs import JobTable
-from .peers import PeerMessage
 from .records import Record, decode_record, encode_record
 from .views import View
 
-__all__ = [
-    "AppendRecords",
-    "BaseBegun",
-    "BaseRecords",
-    "CopyChange",
-    "CopyOutcome",
-    "CopyReply",
-    "Decision",
-    "InstallChunk",
-    "JobCopy",
-    "Position",
-    "Run",
-    "StoreMade",
-    "Truncated",
-    "ViewJoined",
-    "ViewVouched",
-    "Vouch",
-]
-
-NOTHING = b""
-CHUNK_BYTES = 256 * 1024
-
-
-class Position(msgspec.Struct, frozen=True, array_like=True):
-    """Place of a record: the view that wrote it and its sequence number."""
-
-    view: Epoch
-    seq: int
-
-
-START = Position(Epoch(0), 0)
-
-
-class Run(msgspec.Struct, frozen=True, tag="run"):
-    """Records of one view with consecutive sequence numbers."""
-
-    view: Epoch
-    first: int
-    records: tuple[bytes, ...]
-
-
-class StoreMade(msgspec.Struct, frozen=True, tag="store"):
-    """A new store; its id differs from that of a disk that was lost."""
-
-    store: StoreId
-
-
-class ViewJoined(msgspec.Struct, frozen=True, tag="joined"):
-    """The newest view that the copy has taken part in."""
-
-    number: Epoch
-
-
-class ViewVouched(msgspec.Struct, frozen=True, tag="vouched"):
-    """The copy counts in this view, if it becomes the agreed one."""
-
-    view: View
-
-
-class Truncated(msgspec.Struct, frozen=True, tag="truncated"):
-    """Records after a sequence number that no one was told of are gone."""
-
-    last: int
-
-
-class BaseBegun(msgspec.Struct, frozen=True, tag="base"):
-    """A snapshot takes the place of all records up to a position."""
-
-    position: Position
-
-
-class BaseRecords(msgspec.Struct, frozen=True, tag="part"):
-    """A part of the snapshot."""
-
-    records: tuple[bytes, ...]
-
-
-CopyChange = (
-    Run | StoreMade | ViewJoined | ViewVouched | Truncated | BaseBegun | BaseRecords
-)
-
-
-class AppendRecords(PeerMessage, frozen=True):
-    """The primary of a view sends what follows a position; empty as a heartbeat."""
-
-    data_centre: DataCentre
-    view: Epoch
-    after: Position
-    runs: tuple[Run, ...] = ()
-    committed: int = 0
-
-
-class InstallChunk(PeerMessage, frozen=True):
-    """A part of a snapshot, for a copy that is too far behind."""
-
-    data_centre: DataCentre
-    view: Epoch
-    position: Position
-    index: int
-    last: bool
-    records: tuple[bytes, ...]
-
-
-class Vouch(PeerMessage, frozen=True):
-    """The primary of a view vouches for a copy in a view it is about to propose."""
-
-    data_centre: DataCentre
-    view: Epoch
-    following: View
-    at: Position
-
-
-class CopyOutcome(enum.Enum):
-    """What became of a message to a copy."""
-
-    TAKEN = "taken"
-    MISSING = "missing"
-    REFUSED = "refused"
-
-
-class CopyReply(PeerMessage, frozen=True):
-    """What a copy answers once all it says is synced.
-
-    Parameters
-    ----------
-    outcome : CopyOutcome
-        ``MISSING`` if what stands before the records is not there, ``REFUSED``
-        if the copy has joined a newer view.
-    store : str
-        Id of the store that answers.
-    joined : int
-        The newest view that the copy has joined.
-    last : Position
-        Last record of the copy.
-    counts : bool
-        Whether the copy counts in the view it has joined.
-    """
-
-    outcome: CopyOutcome
-    store: StoreId
-    joined: Epoch
-    last: Position
-    counts: bool
+__all__ = ["Decision", "JobCopy"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/currantwell/job_primary.py
+++ b/currantwell/job_primary.py
@@ -8,18 +8,18 @@
 import dataclasses
 from collections.abc import Sequence
 
-from .ids import HostId
-from .job_copy import (
+from .copy_messages import (
     NOTHING,
     AppendRecords,
     CopyOutcome,
     CopyReply,
     InstallChunk,
-    JobCopy,
     Position,
     Run,
     Vouch,
 )
+from .ids import HostId
+from .job_copy import JobCopy
 from .views import View
 
 __all__ = ["Follower", "JobPrimary"]
--- a/currantwell/job_services.py
+++ b/currantwell/job_services.py
@@ -5,9 +5,9 @@
 from .job_backup import JobBackup
 from .kernel import Service
 from .peers import PeerNetwork
-from .remote_gateway import ViewDirectory
 from .roles import BackupExit, MakeDispatcher, RoleLimits, Roles
 from .settings import HostSettings
+from .view_directory import ViewDirectory
 from .views import ViewSource
 
 __all__ = ["JobServices"]
--- /dev/null
+++ b/currantwell/owner_messages.py
@@ -0,0 +1,99 @@
+"""Messages between entry hosts and the owners of jobs."""
+
+import enum
+from typing import Any, Protocol
+
+import msgspec
+
+from .answers import Answer, TaskStatus
+from .dispatcher import Dispatcher
+from .endpoint_protocol import Announcement, AnnouncementReply
+from .ids import DataCentre, EndpointId, JobId, Operator
+from .peers import PeerMessage
+from .submission import Submission
+
+__all__ = [
+    "ARGUMENTS",
+    "RESULTS",
+    "AskEnded",
+    "AskOwner",
+    "EndNoted",
+    "Ended",
+    "OwnerOutcome",
+    "OwnerTold",
+    "Owners",
+]
+
+
+class Owners(Protocol):
+    """Knows the dispatchers that run on this host."""
+
+    def dispatcher(self, data_centre: DataCentre) -> Dispatcher | None:
+        """Return the dispatcher that this host runs for a data centre, if any."""
+        ...
+
+
+class OwnerOutcome(enum.Enum):
+    """What became of a request to an owner."""
+
+    TOLD = "told"
+    REFUSED = "refused"
+    NOT_OWNER = "not_owner"
+    BUSY = "busy"
+    LOST = "lost"
+
+
+class AskOwner(PeerMessage, frozen=True):
+    """A call of a method of `JobGateway` on the owner."""
+
+    data_centre: DataCentre
+    method: str
+    arguments: msgspec.Raw
+
+
+class OwnerTold(PeerMessage, frozen=True):
+    """What the owner returned; ``NOT_OWNER`` and ``BUSY`` say that it did nothing."""
+
+    outcome: OwnerOutcome
+    value: msgspec.Raw = msgspec.Raw(b"\xc0")
+
+
+class AskEnded(PeerMessage, frozen=True):
+    """Asks which jobs have ended, and to be told of the others when they do."""
+
+    data_centre: DataCentre
+    jobs: tuple[JobId, ...]
+
+
+class Ended(PeerMessage, frozen=True):
+    """The jobs that have ended or are not known; an answer, or a note later."""
+
+    data_centre: DataCentre
+    outcome: OwnerOutcome
+    jobs: tuple[JobId, ...] = ()
+
+
+class EndNoted(PeerMessage, frozen=True):
+    """A note of ended jobs has arrived."""
+
+
+ARGUMENTS: dict[str, Any] = {
+    "submit": tuple[Submission],
+    "wait": tuple[JobId, float],
+    "cancel": tuple[JobId],
+    "tasks": tuple[JobId],
+    "explain": tuple[JobId],
+    "drain_endpoint": tuple[EndpointId, bool, Operator],
+    "announce": tuple[Announcement],
+    "endpoints": tuple[()],
+}
+RESULTS: dict[str, Any] = {
+    "submit": Answer,
+    "wait": Answer,
+    "cancel": Answer,
+    "tasks": tuple[TaskStatus, ...],
+    "explain": list[str],
+    "drain_endpoint": None,
+    "announce": AnnouncementReply,
+    "endpoints": list[Announcement],
+}
--- a/currantwell/replicated_job_log.py
+++ b/currantwell/replicated_job_log.py
@@ -11,10 +11,10 @@
 import trio
 
 from .clock import now_s
+from .copy_messages import CopyOutcome, CopyReply, ViewVouched
 from .copy_store import CopyStore
 from .errors import Deposed, PeerUnreachable
 from .ids import HostId, JobId
-from .job_copy import CopyOutcome, CopyReply, ViewVouched
 from .job_primary import JobPrimary
 from .peers import PeerNetwork
 from .records import JobAccepted, Record, encode_record
--- a/currantwell/roles.py
+++ b/currantwell/roles.py
@@ -16,13 +16,13 @@
 from . import events
 from .answers import Refusal
 from .clock import now_s
+from .copy_messages import ViewJoined, ViewVouched
 from .copy_store import CopyStore, CopyStores
 from .dispatcher import Dispatcher
 from .endpoint_protocol import Announcement
 from .errors import AgreementLost, Deposed, PeerUnreachable, StorageFailed
 from .ids import DataCentre, EndpointId, Epoch, HostId, Incarnation
 from .job_backup import JobBackup
-from .job_copy import ViewJoined, ViewVouched
 from .job_log import JobLog
 from .kernel import ServiceName
 from .peers import PeerMessage, PeerNetwork
--- a/tests/test_job_copy.py
+++ b/tests/test_job_copy.py
@@ -15,18 +15,18 @@
     run_state_machine_as_test,
 )
 
-from currantwell.ids import DataCentre, Epoch, HostId, JobId, StoreId
-from currantwell.job_copy import (
+from currantwell.copy_messages import (
     AppendRecords,
     CopyOutcome,
     InstallChunk,
-    JobCopy,
     Run,
     StoreMade,
     ViewJoined,
     ViewVouched,
     Vouch,
 )
+from currantwell.ids import DataCentre, Epoch, HostId, JobId, StoreId
+from currantwell.job_copy import JobCopy
 from currantwell.job_primary import JobPrimary
 from currantwell.records import JobForgotten, decode_record, encode_record
 from currantwell.views import View
--- a/tests/test_remote_gateway.py
+++ b/tests/test_remote_gateway.py
@@ -7,7 +7,7 @@
 from currantwell.codes import ResultCode
 from currantwell.errors import Deposed, PeerUnreachable
 from currantwell.ids import Epoch, HostId
-from currantwell.remote_gateway import ViewDirectory
+from currantwell.view_directory import ViewDirectory
 from currantwell.views import View, ViewTable
 from tests.builders import DATA_CENTRE, a_job_id, a_submission
 
--- a/tests/test_replicated_job_log.py
+++ b/tests/test_replicated_job_log.py
@@ -3,11 +3,11 @@
 import pytest
 import trio
 
+from currantwell.copy_messages import ViewJoined, ViewVouched
 from currantwell.copy_store import CopyStores
 from currantwell.errors import Deposed, PeerUnreachable
 from currantwell.ids import Epoch, HostId
 from currantwell.job_backup import JobBackup
-from currantwell.job_copy import ViewJoined, ViewVouched
 from currantwell.journal import MemoryJournal
 from currantwell.replicated_job_log import ReplicatedJobLog
 from currantwell.views import View, ViewTable
--- a/tools/measure_job_state.py
+++ b/tools/measure_job_state.py
@@ -20,16 +20,12 @@
 import msgspec
 import trio
 
+from currantwell.copy_messages import BaseRecords, ViewJoined, ViewVouched
 from currantwell.copy_store import CopyStores
 from currantwell.endpoint_protocol import AttemptRef
 from currantwell.ids import DataCentre, EndpointId, Epoch, HostId, Incarnation, JobId
 from currantwell.job_backup import JobBackup
-from currantwell.job_copy import (
-    BaseRecords,
-    JobCopy,
-    ViewJoined,
-    ViewVouched,
-)
+from currantwell.job_copy import JobCopy
 from currantwell.journal import DiskJournal, MemoryJournal
 from currantwell.peers import PeerMessage, Peers
 from currantwell.raft_agreement import RaftAgreement
