Pace heartbeats for the budget of a host, and stand again soon after a split vote

Cause: with heartbeats every 0.4 s and a tick every 0.1 s the leader of 7 idle hosts took 1.48 % of a core against 1.1 % allowed. One of ten services after a kill came back only after 2.47 s: two members had stood at the same tick, split the votes and waited a whole election timeout.

Change: a heartbeat every 0.75 s, to followers without a vote every 5 s; what is not answered is sent again after 0.4 s as long as the member answered lately. A member is ticked when it is due and not ten times a second. After a vote without a winner it waits 0.3 to 0.7 s in place of the whole timeout.

--- a/currantwell/consensus.py
+++ b/currantwell/consensus.py
@@ -111,6 +111,13 @@
         """Who takes part, by the newest entry."""
         return self.log.membership
 
+    @property
+    def due_s(self) -> float:
+        """When the member should be ticked at the latest."""
+        if self._leadership is not None:
+            return self._leadership.due_s()
+        return self._deadline_s if self._may_stand() else _NEVER_S
+
     # What the caller feeds.
 
     def form(self, cluster: ClusterId, membership: Membership) -> None:
@@ -268,9 +275,9 @@
             voters += self.log.earlier_membership.voters
         return self.member in voters
 
-    def _rest(self) -> None:
-        wait_s = self._timing.election_s + self._jitter * self._timing.election_spread_s
-        self._deadline_s = self._now_s + wait_s
+    def _rest(self, least_s: float | None = None) -> None:
+        wait_s = self._timing.election_s if least_s is None else least_s
+        self._deadline_s = self._now_s + wait_s + self._jitter * self._timing.spread_s
 
     def _become_follower(self, term: int, leader: MemberId | None) -> None:
         if term > self.term:
@@ -298,7 +305,7 @@
         self.role = role
         self.leader = None
         self._votes = set()
-        self._rest()
+        self._rest(self._timing.retry_s)
         trial = role is Role.TRIAL
         term = self.term + 1
         if not trial:
--- a/currantwell/consensus_leader.py
+++ b/currantwell/consensus_leader.py
@@ -19,6 +19,7 @@
 __all__ = ["Leadership", "Progress", "Read", "Timing"]
 
 MAX_BATCH_ENTRIES = 256
+_NEVER_S = float("inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,19 +30,25 @@
     ----------
     heartbeat_s : float
         Pace of requests to voters and joining members while nothing changes.
+    resend_s : float
+        The same to a member that owes an answer but answered lately.
     follower_heartbeat_s : float
-        The same to learners that stay so.
+        Pace to learners that stay so.
     election_s : float
         A leader that was not heard for so long may be replaced; one that has not
         heard a majority for so long steps down.
-    election_spread_s : float
-        Random part added to ``election_s`` before a member stands for election.
+    retry_s : float
+        How long a member waits for votes before it stands again.
+    spread_s : float
+        Random part added to ``election_s`` and ``retry_s``.
     """
 
-    heartbeat_s: float = 0.4
-    follower_heartbeat_s: float = 1.5
-    election_s: float = 1.0
-    election_spread_s: float = 0.5
+    heartbeat_s: float = 0.75
+    resend_s: float = 0.4
+    follower_heartbeat_s: float = 5.0
+    election_s: float = 1.3
+    retry_s: float = 0.3
+    spread_s: float = 0.4
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,6 +63,8 @@
         When it last answered.
     pace_s : float
         Longest time between requests to it.
+    resend_s : float
+        The same while it owes an answer.
     match : int
         Index up to which it holds what the leader holds, synced.
     told_commit : int
@@ -66,20 +75,30 @@
         When it was last sent a request.
     waiting : bool
         Whether entries are on their way to it.
+    answered : bool
+        Whether it answered the newest request.
     """
 
     next_index: int
     heard_s: float
     pace_s: float
+    resend_s: float
     match: int = 0
     told_commit: int = 0
     round: int = 0
     sent_s: float = -1.0e9
     waiting: bool = False
+    answered: bool = True
+
+    def due_s(self) -> float:
+        """Return when the member should be sent a request at the latest."""
+        heard_lately = self.sent_s - self.heard_s < 2 * self.pace_s
+        resends = heard_lately and not self.answered
+        return self.sent_s + (self.resend_s if resends else self.pace_s)
 
     def due(self, now_s: float, last_index: int, commit: int) -> bool:
         """Tell whether the member should be sent a request now."""
-        if now_s - self.sent_s >= self.pace_s:
+        if now_s >= self.due_s():
             self.waiting = False
             return True
         behind = self.next_index <= last_index or self.told_commit < commit
@@ -145,11 +164,17 @@
             pace_s = self._timing.heartbeat_s
             if member in followers:
                 pace_s = self._timing.follower_heartbeat_s
-            fresh = Progress(self._log.last_index + 1, now_s, pace_s)
+            fresh = Progress(
+                self._log.last_index + 1, now_s, pace_s, self._timing.resend_s
+            )
             progress = known.get(member, fresh)
             progress.pace_s = pace_s
             self.peers[member] = progress
 
+    def due_s(self) -> float:
+        """Return when the next request is due at the latest."""
+        return min((each.due_s() for each in self.peers.values()), default=_NEVER_S)
+
     def hears_majority(self, now_s: float) -> bool:
         """Tell whether a majority of voters answered lately."""
         limit_s = self._timing.election_s
@@ -175,6 +200,7 @@
         progress.heard_s = now_s
         progress.round = max(progress.round, reply.round)
         progress.waiting = False
+        progress.answered = True
         if reply.ok:
             progress.match = max(progress.match, reply.match)
             progress.next_index = progress.match + 1
@@ -234,6 +260,7 @@
             last = min(self._log.last_index, previous + MAX_BATCH_ENTRIES)
             entries = self._log.slice(previous + 1, last)
         progress.sent_s = now_s
+        progress.answered = False
         progress.told_commit = commit
         if previous_term is None:
             progress.waiting = True
--- a/currantwell/consensus_output.py
+++ b/currantwell/consensus_output.py
@@ -49,4 +49,5 @@
 
     def __bool__(self) -> bool:
         """Tell whether there is anything to carry out."""
-        return any(getattr(self, field.name) for field in dataclasses.fields(self))
+        told = self.messages or self.replies or self.reads or self.lost_reads
+        return bool(told) or bool(self.committed) or self.needs_sync
--- a/currantwell/raft_agreement.py
+++ b/currantwell/raft_agreement.py
@@ -53,7 +53,8 @@
 
 Reply = TypeVar("Reply", bound=PeerMessage)
 
-TICK_S = 0.1
+MIN_TICK_S = 0.01
+MAX_TICK_S = 0.3
 RETRY_S = 0.1
 RESEND_S = 0.75
 SNAPSHOT_EVERY = 1_000
@@ -345,7 +346,8 @@
         while True:
             self._core.tick(now_s(), jitter.random())
             self._wake()
-            await trio.sleep(TICK_S)
+            left_s = self._core.due_s - now_s()
+            await trio.sleep(min(max(left_s, MIN_TICK_S), MAX_TICK_S))
 
     async def _carry_out_loop(self, nursery: trio.Nursery) -> None:
         while True:
--- a/tests/members.py
+++ b/tests/members.py
@@ -16,6 +16,7 @@
 
 TIMING = Timing()
 SNAPSHOT_EVERY = 6
+EXCHANGES = 50
 
 
 def at_once(coroutine):
@@ -50,19 +51,20 @@
         self.frozen = False
 
     def carry_out(self):
-        """Take an output up to its sync, or from its sync on."""
-        if self.pending is None:
-            output = self.core.take_output()
-            self.group.send(output.messages)
-            if output.needs_sync:
-                self.pending = output
-            else:
-                self._finish(output)
-        else:
-            output, self.pending = self.pending, None
+        """Take an output up to its sync, or from its sync on; tell if there was one."""
+        output, self.pending = self.pending, None
+        if output is not None:
             at_once(self.storage.save(output))
             self.core.saved(output)
             self._finish(output)
+            return True
+        output = self.core.take_output()
+        self.group.send(output.messages)
+        if output.needs_sync:
+            self.pending = output
+        elif output:
+            self._finish(output)
+        return bool(output)
 
     def _finish(self, output):
         self.group.send(output.replies)
@@ -95,6 +97,7 @@
         self.cuts = set()
         self.committed = {}
         self.terms = {}
+        self.checked = None
         self.leaders = {}
         self.proposed = 0
         self.hosts = [f"host-{i}" for i in range(count)]
@@ -125,9 +128,11 @@
         self.check()
 
     def carry_out(self, host):
-        if not self.nodes[host].frozen:
-            self.nodes[host].carry_out()
-            self.check()
+        node = self.nodes[host]
+        if node.frozen or not node.carry_out():
+            return False
+        self.check()
+        return True
 
     def propose(self, host):
         """Propose a command of its own to a member, which takes it if it leads."""
@@ -171,11 +176,17 @@
         """Let the wire carry everything in order for a while."""
         for _ in range(round(seconds / 0.1)):
             self.pass_time(0.1)
-            for _ in range(6):
-                for host in self.hosts:
-                    self.carry_out(host)
-                while self.wire:
-                    self.deliver(0)
+            self._exchange()
+
+    def _exchange(self):
+        """Let all go on until nothing is left to do, which must come soon."""
+        for _ in range(EXCHANGES):
+            busy = any([self.carry_out(host) for host in self.hosts])
+            if not busy and not self.wire:
+                return
+            while self.wire:
+                self.deliver(0)
+        assert self.kind is not Consensus, "the members never come to rest"
 
     def heal(self):
         self.cuts.clear()
@@ -261,7 +272,7 @@
     def contest(self):
         """Let several stand for election at once, with crashes meanwhile."""
         self.pass_time(TIMING.election_s)
-        self.pass_time(TIMING.election_spread_s / 2)
+        self.pass_time(TIMING.spread_s / 2)
         for _ in range(60):
             self._deliver_any()
             self._carry_out_any()
@@ -342,8 +353,9 @@
             first = self.leaders.setdefault(node.core.term, node.id)
             assert first == node.id, "two leaders in one term"
         leader = self.leader()
-        if leader is None:
+        if leader is None or self.checked == (leader.core, len(self.committed)):
             return
+        self.checked = (leader.core, len(self.committed))
         for index, entry in self.committed.items():
             later = leader.core.term > self.terms[index]
             if later and index > leader.core.log.snapshot.index:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -26,7 +26,7 @@
 SETTINGS = settings(
     derandomize=True,
     deadline=None,
-    max_examples=60,
+    max_examples=100,
     stateful_step_count=15,
     phases=[Phase.generate],
     suppress_health_check=list(HealthCheck),
@@ -34,6 +34,7 @@
 )
 
 THOROUGH = settings(SETTINGS, max_examples=400)
+BROKEN_PROMISE = "two leaders|two entries|lacks a committed|would be lost|a stale read"
 STORM_STEPS = 100
 seeds = st.integers(0, 2**32)
 places = st.integers(0, 4)
@@ -167,7 +168,7 @@
     ],
 )
 def test_the_machine_catches_a_wrong_variant(kind, forgetful):
-    with pytest.raises(AssertionError):
+    with pytest.raises(AssertionError, match=BROKEN_PROMISE):
         run_state_machine_as_test(machine(kind, forgetful), settings=THOROUGH)
 
 
@@ -191,7 +192,7 @@
     assert former.core.role is Role.LEADER
     group.propose(former.host)
     group.confirm(former.host)
-    group.settle()
+    group.settle(1.0)
     assert not former.reads
     assert all(node.state.commands == ["1"] for node in group.nodes.values())
 
