--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,6 +1,7 @@
 """The decisions of members under all that a wire, a disk and a machine can do."""
 
 import random
+import re
 
 import hypothesis.strategies as st
 import pytest
@@ -28,7 +29,7 @@
 SETTINGS = settings(
     derandomize=True,
     deadline=None,
-    max_examples=60,
+    max_examples=100,
     stateful_step_count=15,
     phases=[Phase.generate],
     suppress_health_check=list(HealthCheck),
@@ -37,6 +38,7 @@
 
 WALKS = 400
 WALK_STEPS = 25
+BROKEN_PROMISE = "two leaders|two entries|lacks a committed|would be lost|a stale read"
 STORM_STEPS = 100
 seeds = st.integers(0, 2**32)
 places = st.integers(0, 4)
@@ -170,9 +172,17 @@
     ],
 )
 def test_the_machine_catches_a_wrong_variant(kind, forgetful):
-    with pytest.raises(AssertionError):
-        for seed in range(WALKS):
-            walk(machine(kind, forgetful), seed)
+    variant = machine(kind, forgetful)
+    assert any(breaks_a_promise(variant, seed) for seed in range(WALKS))
+
+
+def breaks_a_promise(variant, seed):
+    """Tell whether a walk ends by a broken promise, and not just without rest."""
+    try:
+        walk(variant, seed)
+    except AssertionError as error:
+        return re.search(BROKEN_PROMISE, str(error)) is not None
+    return False
 
 
 def test_the_same_walks_find_no_fault_in_the_right_one():
@@ -230,7 +240,7 @@
     assert former.core.role is Role.LEADER
     group.propose(former.host)
     group.confirm(former.host)
-    group.settle()
+    group.settle(1.0)
     assert not former.reads
     assert all(node.state.commands == ["1"] for node in group.nodes.values())
 
