Tell operators what each failure looks like and what to do

Change: docs/OPERATIONS.md; tests hold its commands, codes and events to the program. A host that can't start says which file or address is at fault, and exits with 1.

--- a/currantwell/cli/host.py
+++ b/currantwell/cli/host.py
@@ -1,13 +1,14 @@
 """``currantwell host``: run and look after entry hosts."""
 
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 
 import click
 import trio
 
 from ..admin_protocol import ChangeRequest
-from ..errors import SettingsInvalid
+from ..errors import JournalDamaged, SettingsInvalid, StorageFailed
 from ..exit_codes import ExitCode
 from ..host import run_host
 from ..ids import HostId
@@ -40,10 +41,24 @@
         for problem in error.problems:
             click.echo(problem, err=True)
         sys.exit(int(ExitCode.USAGE))
-    drained = trio.run(run_host, settings)
+    drained = False
+    try:
+        drained = trio.run(run_host, settings)
+    except* (JournalDamaged, StorageFailed, OSError) as errors:
+        for reason in sorted({str(error) for error in _leaves(errors)}):
+            click.echo(f"the host stops: {reason}", err=True)
     sys.exit(0 if drained else int(ExitCode.FAILED))
 
 
+def _leaves(error: BaseException) -> Iterator[BaseException]:
+    """Yield the errors of a group, however deep."""
+    if isinstance(error, BaseExceptionGroup):
+        for inner in error.exceptions:
+            yield from _leaves(inner)
+    else:
+        yield error
+
+
 @host.command("list")
 @as_json
 @connection
--- a/currantwell/http_server.py
+++ b/currantwell/http_server.py
@@ -20,7 +20,11 @@
     """Return a bound socket; port 0 lets the kernel pick one."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((address, port))
+    try:
+        listener.bind((address, port))
+    except OSError as error:
+        listener.close()
+        raise OSError(error.errno, error.strerror, f"{address}:{port}") from error
     return listener
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -86,3 +86,19 @@
         if code is ResultCode.INTERNAL:
             expected = ExitCode.UNKNOWN
         assert exit_code(code) is expected
+
+
+def test_a_host_that_cannot_start_says_why_in_plain_words(url, tmp_path):
+    taken = url.rpartition(":")[2]
+    (tmp_path / "agreed.journal").write_bytes(b"no journal" * 10)
+    for more, reason in (
+        (f"http_port = {taken}", f"Address already in use: '127.0.0.1:{taken}'"),
+        (f"data_folder = {tmp_path}", "agreed.journal: "),
+        ("colour = red", "[host] colour: unknown key"),
+    ):
+        path = tmp_path / "host.ini"
+        path.write_text(f"[host]\nid = h-1\ndata_centre = d\n{more}\n")
+        done = command("host", "run", "--settings", str(path))
+        assert done.returncode in (ExitCode.FAILED, ExitCode.USAGE)
+        assert reason in done.stderr.decode()
+        assert b"Traceback" not in done.stderr
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -7,8 +7,12 @@
 import sys
 from pathlib import Path
 
+import click
 import pytest
 
+from currantwell.cli import main
+from currantwell.codes import ResultCode
+from currantwell.events import catalogue
 from tests.builders import free_addresses
 
 ROOT = Path(__file__).parent.parent
@@ -62,3 +66,28 @@
             os.killpg(shell.pid, signal.SIGKILL)
             output = shell.communicate()[0] + "\nran out of time"
     return shell.returncode, output
+
+
+COMMAND = re.compile(r"`currantwell ([a-z ]+[a-z])")
+PAGES = ("README.md", "docs/OPERATIONS.md", "docs/API.md", "docs/RESULT_CODES.md")
+
+
+@pytest.mark.parametrize("name", PAGES)
+def test_the_commands_that_a_document_names_exist(name):
+    for words in COMMAND.findall((ROOT / name).read_text()):
+        command = main
+        for word in words.split():
+            if isinstance(command, click.Group):
+                command = command.get_command(click.Context(command), word)
+            assert command is not None, words
+
+
+def test_the_pages_name_codes_and_events_that_exist():
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    for name in re.findall(r"`([A-Z][A-Z_]+_[A-Z_]+)`", page):
+        assert name in ResultCode.__members__ or name == "CURRANTWELL_URL", name
+    known = {(str(event.number), event.name) for event in catalogue()}
+    for number, name in re.findall(r"(\d{3}) `([a-z_]+)`", page):
+        assert (number, name) in known, name
+    numbers = {number for number, _ in known}
+    assert set(re.findall(r"\b[2-7]\d\d\b", page)) - {"503"} <= numbers
