Drain endpoints by the agreed state alone

Cause: there were two ways to drain an endpoint. One stood in the agreed state, audited, and dispatch never looked at it; the other told the dispatcher and the endpoint, and left no trace of who and why. A test of the first found that a drain that ended did not wake the dispatcher, so that waiting work stayed until something else happened.

Ruled out: keeping the endpoint's memory of the wish beside it, since a resumed endpoint then needed a second message to forget.

Change: the dispatcher asks its host's agreed state which endpoints are drained, at every beat, announcement and tick.

--- a/currantwell/cli/endpoint.py
+++ b/currantwell/cli/endpoint.py
@@ -5,9 +5,12 @@
 import click
 import trio
 
+from ..admin_protocol import ChangeRequest
 from ..client import Client
 from ..emulator import EmulatorSettings, Faults, run_emulator
 from ..ids import DataCentre, EndpointId, Rack
+from ..operator_client import OperatorClient
+from .change import change_options, finish_change, stale_note
 from .session import as_json, ask_hosts, connection, echo_json
 from .status import endpoint_line
 
@@ -32,20 +35,45 @@
         click.echo(endpoint_line(announcement))
 
 
+@endpoint.command()
+@as_json
+@connection
+def drained(client: OperatorClient, as_json: bool) -> None:
+    """List the drained endpoints, and the version to change the list against."""
+    told = ask_hosts(client, client.drained)
+    if as_json:
+        echo_json(told)
+        return
+    stale_note(told.current)
+    for name in told.drained:
+        click.echo(name)
+    click.echo(f"version {told.version}")
+
+
 @endpoint.command()
 @click.argument("name", type=EndpointId)
+@change_options
+@as_json
 @connection
-def drain(client: Client, name: EndpointId) -> None:
+def drain(
+    client: OperatorClient, name: EndpointId, change: ChangeRequest, as_json: bool
+) -> None:
     """Have an endpoint get no new starts; what runs there goes on."""
-    ask_hosts(client, client.drain_endpoint, name, True)
+    told = ask_hosts(client, client.set_drained, name, True, change)
+    finish_change(told, change, as_json)
 
 
 @endpoint.command()
 @click.argument("name", type=EndpointId)
+@change_options
+@as_json
 @connection
-def resume(client: Client, name: EndpointId) -> None:
+def resume(
+    client: OperatorClient, name: EndpointId, change: ChangeRequest, as_json: bool
+) -> None:
     """Have a drained endpoint get new starts again."""
-    ask_hosts(client, client.drain_endpoint, name, False)
+    told = ask_hosts(client, client.set_drained, name, False, change)
+    finish_change(told, change, as_json)
 
 
 @endpoint.command()
--- a/currantwell/client.py
+++ b/currantwell/client.py
@@ -2,12 +2,12 @@
 
 A request that an entry host leaves unanswered goes to the next one. That is safe for
 jobs, since their key makes every resubmission find the first, and for the rest, since
-asking and draining may be done twice.
+asking may be done twice.
 """
 
 import dataclasses
 from collections.abc import Sequence
-from typing import Any, TypeVar
+from typing import TypeVar
 
 import msgspec
 import trio
@@ -18,7 +18,7 @@
 from .endpoint_protocol import Announcement
 from .errors import EndpointUnreachable, RequestRefused
 from .http_client import HttpClient, HttpReply
-from .ids import DataCentre, EndpointId, JobKey, Team, home_of, new_key
+from .ids import DataCentre, JobKey, Team, home_of, new_key
 from .status import Status
 from .submission import Submission
 
@@ -129,11 +129,6 @@
         """Return the endpoints of the host's data centre; asks as `tasks` does."""
         return await self._get("GET", "/v1/endpoints", list[Announcement])
 
-    async def drain_endpoint(self, endpoint: EndpointId, draining: bool = True) -> None:
-        """Have an endpoint get no new starts, or get them again; as `tasks`."""
-        method = "POST" if draining else "DELETE"
-        await self._get(method, f"/v1/endpoints/{endpoint}/drain", dict[str, Any])
-
     async def status(self) -> Status:
         """Return what the host knows of the system; asks as `tasks` does."""
         return await self._get("GET", "/v1/status", Status)
--- a/currantwell/control.py
+++ b/currantwell/control.py
@@ -4,6 +4,8 @@
 proposed.
 """
 
+from collections.abc import Collection
+
 import msgspec
 import trio
 
@@ -20,7 +22,7 @@
 from .clock import CalendarClock, now_s
 from .codes import ResultCode
 from .errors import AgreementLost, PeerUnreachable
-from .ids import DataCentre, HostId, Team
+from .ids import DataCentre, EndpointId, HostId, Team
 from .kernel import ServiceName
 from .leadership import Leadership, Renew, Renewed
 from .peers import PeerNetwork
@@ -121,6 +123,10 @@
         """Return the quota of a team."""
         return self.state.quota(team)
 
+    def drained(self) -> Collection[EndpointId]:
+        """Return the endpoints that operators have drained."""
+        return self.state.image.drained
+
     def view(self, data_centre: DataCentre) -> View | None:
         """Return the newest view that this host knows of a data centre."""
         return self.state.image.views.get(data_centre)
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -17,6 +17,7 @@
 from .answers import Answer, Refusal, TaskState, TaskStatus
 from .clock import CalendarClock, now_s
 from .codes import ResultCode
+from .drains import DrainSource, NoDrains
 from .endpoint_link import Connect, EndpointLink, Link
 from .endpoint_protocol import (
     Announcement,
@@ -31,7 +32,7 @@
     StartReply,
 )
 from .errors import Deposed
-from .ids import DataCentre, EndpointId, Epoch, Incarnation, JobId, Operator, job_id
+from .ids import DataCentre, EndpointId, Epoch, Incarnation, JobId, job_id
 from .job_log import JobLog
 from .jobs import Job, JobTable, Task
 from .kernel import ServiceName
@@ -117,6 +118,8 @@
         Makes the link to an incarnation of an endpoint.
     metrics : Metrics or None
         Where times go.
+    drains : DrainSource or None
+        Which endpoints operators have drained.
     """
 
     name = ServiceName("dispatcher")
@@ -131,6 +134,7 @@
         limits: DispatcherLimits | None = None,
         metrics: Metrics | None = None,
         connect: Connect = EndpointLink,
+        drains: DrainSource | None = None,
     ) -> None:
         self.data_centre = data_centre
         self.epoch = epoch
@@ -143,7 +147,7 @@
         self._limits = limits or DispatcherLimits()
         self._connect = connect
         self._metrics = metrics or Metrics()
-        self._drains: dict[EndpointId, bool] = {}
+        self._drains = drains or NoDrains()
         self._known: dict[EndpointId, _Known] = {}
         self._outbox: list[_Entry] = []
         self._placed: list[PlacedTask] = []
@@ -276,23 +280,6 @@
         """Return what all known endpoints last said of themselves."""
         return [known.announcement for known in self._known.values()]
 
-    async def drain_endpoint(
-        self, endpoint: EndpointId, draining: bool, operator: Operator
-    ) -> Refusal | None:
-        """Have an endpoint get no new starts, or get them again.
-
-        The endpoint is told with its next lease and keeps it from then on.
-        """
-        known = self._known.get(endpoint)
-        if known is None:
-            return Refusal(ResultCode.NOT_FOUND, "no such endpoint", "endpoint")
-        self._drains[endpoint] = draining
-        self._take_in(known, known.announcement)
-        events.ENDPOINT_DRAINED.log(
-            endpoint=endpoint, draining=draining, operator=operator
-        )
-        return None
-
     def load(self) -> HostLoad:
         """Return what there is to do now."""
         said = [known.announcement for known in self._known.values()]
@@ -326,25 +313,23 @@
         if known is None:
             known = self._meet(announcement)
         known.heard_s = now_s()
-        drain = self._take_in(known, announcement)
+        self._take_in(known, announcement)
         self._wake.set()
-        return AnnouncementReply(lease_s, self.epoch, drain)
+        return AnnouncementReply(lease_s, self.epoch)
 
     def _lease_s(self) -> float | None:
         """Return a lease that ends before a successor counts it over, if any."""
         lease_s = self._limits.endpoint_lease_s - self._log.confirmed_age_s()
         return None if lease_s <= 0 or self._stopped else lease_s
 
-    def _take_in(self, known: _Known, said: Announcement) -> bool | None:
-        """Take in what an endpoint says of itself; return an operator's wish."""
-        wish = self._drains.get(said.endpoint)
-        if wish:
+    def _take_in(self, known: _Known, said: Announcement) -> None:
+        """Take in what an endpoint says of itself, and what operators wish."""
+        if said.endpoint in self._drains.drained():
             said = msgspec.structs.replace(said, draining=True)
-        elif wish is False and not said.draining:
-            wish = self._drains.pop(said.endpoint)
+        if known.announcement.draining and not said.draining:
+            self._wake.set()
         known.announcement = said
         self._scheduler.endpoint_announced(said, now_s())
-        return wish
 
     # What links tell.
 
@@ -395,9 +380,9 @@
             draining=beat.draining,
             used_processors=beat.used_processors,
         )
-        drain = self._take_in(known, said)
+        self._take_in(known, said)
         lease_s = self._lease_s()
-        return None if lease_s is None else LeaseGrant(beat.beat, lease_s, drain)
+        return None if lease_s is None else LeaseGrant(beat.beat, lease_s)
 
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
         """Note whether an endpoint answers."""
@@ -611,6 +596,9 @@
             now = now_s()
             lease_s = self._limits.endpoint_lease_s * (1 + CLOCK_DRIFT)
             for known in list(self._known.values()):
+                said = known.announcement
+                if not said.draining and said.endpoint in self._drains.drained():
+                    self._take_in(known, said)
                 silent_s = now - known.heard_s
                 if silent_s > self._limits.suspect_after_s:
                     self._scheduler.endpoint_reachable(
--- a/currantwell/emulator.py
+++ b/currantwell/emulator.py
@@ -233,7 +233,6 @@
     def _take_line(self, line: StartStreamLine) -> None:
         if isinstance(line, LeaseGrant):
             self._take_lease(line.lease_s, self._beats.pop(line.beat, None))
-            self._take_wish(line.drain)
             self._forget(line.acked_seq)
             return
         if line.batch > self._last_batch:
@@ -440,7 +439,6 @@
         granted = msgspec.json.decode(reply.body, type=AnnouncementReply)
         if granted.epoch >= self._epoch:
             self._extend_lease(granted.lease_s, sent_s)
-            self._take_wish(granted.drain)
 
     def _announcement(self) -> Announcement:
         own = self._settings
@@ -472,10 +470,6 @@
         end_s = sent_s + lease_s
         self._lease_end_s = max(end_s, self._lease_end_s or end_s)
 
-    def _take_wish(self, drain: bool | None) -> None:
-        if drain is not None:
-            self.faults.draining = drain
-
     async def _lease_loop(self) -> None:
         while True:
             await trio.sleep(LEASE_CHECK_S)
--- a/currantwell/endpoint_protocol.py
+++ b/currantwell/endpoint_protocol.py
@@ -149,14 +149,10 @@
         endpoint stops all it runs and announces itself under a new one.
     epoch : int
         The epoch of the primary that granted the lease.
-    drain : bool or None
-        Whether an operator wants the endpoint to drain; None for no wish. The
-        endpoint keeps it for as long as it lives and announces it as `draining`.
     """
 
     lease_s: float
     epoch: Epoch
-    drain: bool | None = None
 
 
 class Start(msgspec.Struct, frozen=True):
@@ -238,15 +234,12 @@
         The number of the beat answered.
     lease_s : float
         How long after sending that beat the endpoint may go on running tasks.
-    drain : bool or None
-        As in `AnnouncementReply`.
     acked_seq : int
         As in `StartBatch`; there may be no next batch.
     """
 
     beat: int
     lease_s: float
-    drain: bool | None = None
     acked_seq: int = 0
 
 
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -144,12 +144,6 @@
 REQUEST_FAILED = _event(
     900, "request_failed", Level.ERROR, "A request met an unforeseen error."
 )
-ENDPOINT_DRAINED = _event(
-    901,
-    "endpoint_drained",
-    Level.INFO,
-    "An operator had an endpoint drained, or put back to use.",
-)
 JOURNAL_TAIL_CUT = _event(
     510,
     "journal_tail_cut",
--- a/currantwell/gateway.py
+++ b/currantwell/gateway.py
@@ -4,7 +4,7 @@
 
 from .answers import Answer, Refusal, TaskStatus
 from .endpoint_protocol import Announcement, AnnouncementReply
-from .ids import EndpointId, JobId, Operator
+from .ids import JobId
 from .submission import Submission
 
 __all__ = ["JobGateway"]
@@ -40,9 +40,3 @@
     async def endpoints(self) -> list[Announcement] | Refusal:
         """Return what all known endpoints last said of themselves."""
         ...
-
-    async def drain_endpoint(
-        self, endpoint: EndpointId, draining: bool, operator: Operator
-    ) -> Refusal | None:
-        """Have an endpoint get no new starts, or get them again."""
-        ...
--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -128,6 +128,7 @@
             self._calendar,
             limits,
             self._metrics,
+            drains=self._control,
         )
 
     def _journal(self, name: str) -> Journal:
--- a/currantwell/http_api.py
+++ b/currantwell/http_api.py
@@ -24,7 +24,6 @@
 from .http_replies import Guard, Handler, json_reply, no_route, reply, text_reply
 from .ids import (
     DataCentre,
-    EndpointId,
     JobKey,
     Operator,
     Team,
@@ -117,8 +116,6 @@
             ("GET", "/v1/jobs/{key}/explain", self.get_explain),
             ("POST", "/v1/endpoints", self.post_endpoint),
             ("GET", "/v1/endpoints", self.get_endpoints),
-            ("POST", "/v1/endpoints/{endpoint}/drain", self.post_drain),
-            ("DELETE", "/v1/endpoints/{endpoint}/drain", self.delete_drain),
             ("GET", "/v1/status", self.get_status),
             ("GET", "/status", self.get_status_page),
             ("GET", "/metrics", self.get_metrics),
@@ -200,14 +197,6 @@
         told = await self._gateway.endpoints()
         return reply(told) if isinstance(told, Refusal) else json_reply(200, told)
 
-    async def post_drain(self, request: Request) -> Response:
-        """Have an endpoint get no new starts."""
-        return await self._drain(request, True)
-
-    async def delete_drain(self, request: Request) -> Response:
-        """Have a drained endpoint get new starts again."""
-        return await self._drain(request, False)
-
     # Operators and machines.
 
     async def get_status(self, request: Request) -> Response:
@@ -251,14 +240,6 @@
             told = await self._router.wait(submission.team, submission.key, wait_s)
         return told
 
-    async def _drain(self, request: Request, draining: bool) -> Response:
-        operator = self._operator(request)
-        endpoint = EndpointId(request.path_params["endpoint"])
-        refusal = await self._gateway.drain_endpoint(endpoint, draining, operator)
-        if refusal is not None:
-            return reply(refusal)
-        return json_reply(200, {"endpoint": endpoint, "draining": draining})
-
     def _body(self, request: Request) -> Any:
         return read_body(request, self._parts.budget, self._caller(request))
 
--- a/currantwell/remote_gateway.py
+++ b/currantwell/remote_gateway.py
@@ -18,7 +18,7 @@
 from .dispatcher import Dispatcher
 from .endpoint_protocol import Announcement, AnnouncementReply
 from .errors import Deposed, PeerUnreachable
-from .ids import DataCentre, EndpointId, HostId, JobId, Operator
+from .ids import DataCentre, HostId, JobId
 from .kernel import ServiceName
 from .peers import PeerMessage, PeerNetwork
 from .submission import Submission
@@ -102,7 +102,6 @@
     "cancel": tuple[JobId],
     "tasks": tuple[JobId],
     "explain": tuple[JobId],
-    "drain_endpoint": tuple[EndpointId, bool, Operator],
     "announce": tuple[Announcement],
     "endpoints": tuple[()],
 }
@@ -112,7 +111,6 @@
     "cancel": Answer,
     "tasks": tuple[TaskStatus, ...],
     "explain": list[str],
-    "drain_endpoint": None,
     "announce": AnnouncementReply,
     "endpoints": list[Announcement],
 }
@@ -353,15 +351,6 @@
         told: list[Announcement] | Refusal = await self._call("endpoints")
         return told
 
-    async def drain_endpoint(
-        self, endpoint: EndpointId, draining: bool, operator: Operator
-    ) -> Refusal | None:
-        """Have an endpoint get no new starts, or get them again."""
-        told: Refusal | None = await self._call(
-            "drain_endpoint", endpoint, draining, operator
-        )
-        return told
-
     async def run(self) -> None:
         """Ask remote owners which of the jobs waited for here have ended."""
         while True:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -87,6 +87,7 @@
     def __init__(self, *records, **limits):
         self.log = HeldLog(*records)
         self.links = {}
+        self.drained_endpoints = set()
         self.dispatcher = Dispatcher(
             DATA_CENTRE,
             Epoch(2),
@@ -95,8 +96,12 @@
             SystemCalendar(),
             DispatcherLimits(endpoint_lease_s=8.0, **limits),
             connect=self.connect,
+            drains=self,
         )
 
+    def drained(self):
+        return self.drained_endpoints
+
     def connect(self, endpoint, incarnation, url, epoch, owner):
         link = FakeLink(endpoint, incarnation, url, epoch, owner)
         self.links[incarnation] = link
@@ -128,6 +133,24 @@
     assert bench.link.starts == []
 
 
+async def test_a_drained_endpoint_gets_no_start_until_it_is_resumed(nursery, clock):
+    bench, job = Bench(), a_submission()
+    bench.drained_endpoints.add(E1.endpoint)
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    assert (await bench.dispatcher.endpoints())[0].draining
+    await bench.dispatcher.submit(job)
+    await trio.sleep(1.0)
+    assert bench.link.starts == []
+    bench.drained_endpoints.clear()
+    bench.dispatcher.beat_arrived(E1.endpoint, Beat(1, E1.incarnation, 0))
+    await settle()
+    assert len(bench.link.starts) == 1
+    bench.drained_endpoints.add(E1.endpoint)
+    await trio.sleep(0.2)
+    assert (await bench.dispatcher.endpoints())[0].draining
+
+
 async def test_a_start_is_not_sent_to_a_later_incarnation(nursery, clock):
     bench, job = Bench(), a_submission(restart=RestartRule.NEVER)
     await nursery.start(bench.dispatcher.run)
