--- a/currantwell/owner_messages.py
+++ b/currantwell/owner_messages.py
@@ -8,7 +8,7 @@
 from .answers import Answer, TaskStatus
 from .dispatcher import Dispatcher
 from .endpoint_protocol import Announcement, AnnouncementReply
-from .ids import DataCentre, EndpointId, JobId, Operator
+from .ids import DataCentre, JobId
 from .peers import PeerMessage
 from .submission import Submission
 
@@ -83,7 +83,6 @@
     "cancel": tuple[JobId],
     "tasks": tuple[JobId],
     "explain": tuple[JobId],
-    "drain_endpoint": tuple[EndpointId, bool, Operator],
     "announce": tuple[Announcement],
     "endpoints": tuple[()],
 }
@@ -93,7 +92,6 @@
     "cancel": Answer,
     "tasks": tuple[TaskStatus, ...],
     "explain": list[str],
-    "drain_endpoint": None,
     "announce": AnnouncementReply,
     "endpoints": list[Announcement],
 }
