--- a/currantwell/bench.py
+++ b/currantwell/bench.py
@@ -195,7 +195,7 @@
     return Measures(
         ratio_mean=_mean(ratios),
         ratio_p99=_percentile(ratios, 0.99),
-        busy=figures.busy_s / slots / max(load.end_s, figures.end_s),
+        busy=figures.busy_s / slots / load.end_s,
         wasted=figures.wasted / max(1, figures.useful),
         in_time=sum(o.in_time for o in kept) / max(1, len(kept)),
         accepted=len(accepted) / max(1, len(counted)),
@@ -275,5 +275,5 @@
 
 def _cell(found: Summary) -> str:
     if found.low == found.high:
-        return f"{found.mean:.3f}"
-    return f"{found.mean:.3f} ({found.low:.3f} to {found.high:.3f})"
+        return f"{found.mean:.4g}"
+    return f"{found.mean:.4g} ({found.low:.4g} to {found.high:.4g})"
--- a/currantwell/bench_run.py
+++ b/currantwell/bench_run.py
@@ -61,7 +61,6 @@
     stops: int = 0
     restarts: int = 0
     busy_s: float = 0.0
-    end_s: float = 0.0
     waits_s: list[tuple[float, float, float]] = dataclasses.field(default_factory=list)
     starts_by_worker: collections.Counter[EndpointId] = dataclasses.field(
         default_factory=collections.Counter
@@ -118,8 +117,10 @@
         clock: _Clock,
         tell: Callable[[AttemptRef, ResultCode, float], None],
         began: Callable[[AttemptRef], None],
+        counted_until_s: float,
     ) -> None:
         self.spec = spec
+        self._counted_until_s = counted_until_s
         self._clock = clock
         self._tell = tell
         self._began = began
@@ -171,7 +172,8 @@
         attempt.ended = True
         del self._running[attempt.ref]
         run_s = self._clock.now_s - attempt.begun_s
-        self.busy_s += run_s
+        counted_s = min(self._clock.now_s, self._counted_until_s) - attempt.begun_s
+        self.busy_s += max(0.0, counted_s)
         self._reply(attempt.ref, code, run_s)
         self._fill()
 
@@ -199,7 +201,7 @@
         self._scheduler = scheduler
         self._open: dict[JobId, _OpenJob] = {}
         self._workers = {
-            spec.id: _Worker(spec, self.clock, self._result, self._began)
+            spec.id: _Worker(spec, self.clock, self._result, self._began, load.end_s)
             for spec in load.workers
         }
         self._committing = False
@@ -346,7 +348,6 @@
         del self._open[ref.job]
         outcome = job.outcome
         outcome.code = ResultCode.COMPLETE
-        self.figures.end_s = self.clock.now_s
         outcome.response_s = self.clock.now_s + COMMIT_S - outcome.job.at_s
 
     # Ticks and losses.
--- a/currantwell/ejection.py
+++ b/currantwell/ejection.py
@@ -18,7 +18,7 @@
 
 BAD_FAILURE_SHARE = 0.5
 USUAL_FAILURE_SHARE = 0.01
-KIND_MEMORY_TASKS = 200
+KIND_MEMORY_TASKS = 50
 EJECT_SCORE = math.log(1_000.0)
 FIRST_BACKOFF_S = 5.0
 MAX_BACKOFF_S = 300.0
@@ -55,10 +55,9 @@
             self._succeeded(record, usual)
         else:
             self._failed(record, usual, now_s)
-        if record.limit is None or ok:
-            weight = 1.0 / KIND_MEMORY_TASKS
-            usual_now = self._failures.get(kind, 0.0)
-            self._failures[kind] = usual_now + weight * ((not ok) - usual_now)
+        usual_now = self._failures.get(kind, 0.0)
+        step = (not ok) - usual_now
+        self._failures[kind] = usual_now + step / KIND_MEMORY_TASKS
 
     def refused(self, endpoint: EndpointId, now_s: float) -> None:
         """Learn from a start that the endpoint refused."""
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -43,10 +43,13 @@
 
 def test_a_kind_that_fails_everywhere_ejects_no_one():
     ejection, loads = trusted("abcd")
-    for turn in range(400):
-        ejection.learn("abcd"[turn % 4], "broken", turn % 2 == 0, 1.0)
-    ejection.learn("a", "broken", False, 100.0)
-    assert 0 not in ejection.limits(loads, 400.0).values()
+    for turn in range(800):
+        ejection.learn("abcd"[turn % 4], "broken", turn % 8 < 4, 1.0)
+    for _ in range(20):
+        ejection.learn("a", "check-in", True, 1_000.0)
+    for _ in range(4):
+        ejection.learn("a", "broken", False, 1_000.0)
+    assert "a" not in ejection.limits(loads, 1_000.0)
 
 
 def test_never_more_than_half_are_ejected():
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -91,8 +91,9 @@
     add(scheduler, "retried", attempt=2)
     scheduler.remove("job")
     scheduler.remove("retried")
-    assert scheduler.plan(5.0) == []
     assert scheduler.waiting_tasks == 0
+    add(scheduler, "other")
+    assert [placed.task.job for placed in scheduler.plan(5.0)] == ["other"]
 
 
 def test_a_job_past_its_deadline_is_told_once_and_not_started(scheduler):
