Measure the slopes of capacity

bench capacity prints what a task costs the scheduler against endpoints, teams and waiting tasks, and the memory and bytes of records and messages.

--- a/currantwell/cli/bench.py
+++ b/currantwell/cli/bench.py
@@ -3,13 +3,22 @@
 import click
 
 from ..bench import ABLATIONS, POLICIES, run_bench, table
+from ..bench_capacity import byte_counts, memory_slopes, scheduler_cost
 from ..bench_loads import LOADS
 from ..presets import MAINTENANCE, ORDINARY, PEAK
 
 __all__ = ["bench"]
 
 PRESETS = {preset.name: preset for preset in (ORDINARY, PEAK, MAINTENANCE)}
-
+CAPACITY_SIZES = (
+    (13, 12, 300),
+    (52, 12, 300),
+    (208, 12, 300),
+    (52, 300, 300),
+    (52, 300, 3_000),
+    (52, 300, 30_000),
+    (620, 300, 3_000),
+)
 ALL = {**POLICIES, **ABLATIONS}
 
 
@@ -36,3 +45,19 @@
     for load in loads or tuple(LOADS):
         results = run_bench(load, policies, range(seeds), seconds, PRESETS[preset])
         click.echo(table(load, results) + "\n")
+
+
+@bench.command("capacity")
+@click.option("--starts", default=5_000, show_default=True, help="Starts to time.")
+def capacity(starts: int) -> None:
+    """Measure the slopes of docs/CAPACITY.md."""
+    click.echo("| endpoints | teams | waiting | plan us | ended us | add us | all us |")
+    click.echo("|---" * 7 + "|")
+    for endpoints, teams, waiting in CAPACITY_SIZES:
+        cost = scheduler_cost(endpoints, teams, waiting, starts)
+        click.echo(
+            f"| {endpoints} | {teams} | {waiting} | {cost.plan_us:.1f} "
+            f"| {cost.ended_us:.1f} | {cost.add_us:.1f} | {cost.total_us:.1f} |"
+        )
+    for name, size_bytes in {**memory_slopes(), **byte_counts()}.items():
+        click.echo(f"{name}: {size_bytes:.0f} bytes")
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -3,6 +3,8 @@
 import dataclasses
 import functools
 
+from click.testing import CliRunner
+
 from currantwell.bench import (
     ABLATIONS,
     POLICIES,
@@ -13,7 +15,9 @@
     summary,
     table,
 )
+from currantwell.bench_capacity import scheduler_cost
 from currantwell.bench_loads import make_load
+from currantwell.cli import main
 from currantwell.presets import ORDINARY, PEAK
 
 OWN = {"currantwell": POLICIES["currantwell"]}
@@ -73,3 +77,17 @@
     load = dataclasses.replace(load, jobs=load.jobs[:20])
     for make in ABLATIONS.values():
         assert run_once(load, make, ORDINARY, 0).useful
+
+
+def test_the_scheduler_leaves_a_core_time_for_5000_starts_a_second():
+    cost = scheduler_cost(endpoints=52, teams=300, waiting=3_000, starts=2_000)
+    assert cost.total_us <= 1e6 / 5_000
+
+
+def test_the_command_line_prints_tables():
+    runner = CliRunner()
+    short = ["--seeds", "1", "--seconds", "10.5"]
+    ran = runner.invoke(main, ["bench", "run", "crest", *short])
+    assert "| two-choices |" in ran.output
+    slopes = runner.invoke(main, ["bench", "capacity", "--starts", "100"])
+    assert "AttemptStarted: " in slopes.output
