--- a/currantwell/presets.py
+++ b/currantwell/presets.py
@@ -53,7 +53,7 @@
 
 
 FLOOR = Preset("floor", MIN_QUEUE_S, MIN_LONG_SHARE, 0.0, 0.0)
-ORDINARY = Preset("ordinary", 10.0, 0.75, 0.05, 0.1)
+ORDINARY = Preset("ordinary", 10.0, 0.75, 0.03, 0.1)
 PEAK = Preset("peak", 4.0, 0.5, 0.0, 0.02)
 MAINTENANCE = Preset("maintenance", 1.0, 0.5, 0.0, 0.0)
 
