Take nothing from a backup that came back without its disk

Cause: found by the state machine on one of its walks, which depend on the path of the tree: a primary that had not heard of its successor went on with a backup whose disk was lost; that had forgotten which views it joined, took the records, and a task was started twice. Change: answers of the view's backup count, for commits, leases and refusals, only while its copy counts; and a primary whose own copy has joined a newer view is over at once.

--- a/currantwell/job_primary.py
+++ b/currantwell/job_primary.py
@@ -2,7 +2,9 @@
 
 It does no I/O and reads no clock. Invariants: a record is committed once it is
 synced here and on every copy that counts, in the order in which records were added;
-a copy that is about to count is waited for from before it is vouched for.
+a copy that is about to count is waited for from before it is vouched for; a backup
+that came back without its disk has forgotten which views it joined, so that its answers
+prove nothing; a primary whose own copy has joined a newer view is over.
 """
 
 import dataclasses
@@ -65,7 +67,7 @@
     def __init__(self, copy: JobCopy, view: View) -> None:
         self.copy = copy
         self.view = view
-        self.deposed = False
+        self._refused = False
         self.followers: dict[HostId, Follower] = {}
         self.required: set[HostId] = set()
         self.committed = copy.applied.seq
@@ -76,6 +78,11 @@
             self.follow(view.backup)
             self.required.add(view.backup)
 
+    @property
+    def deposed(self) -> bool:
+        """Whether a newer view is known to have taken over."""
+        return self._refused or self.copy.joined > self.view.number
+
     def add(self, records: Sequence[bytes]) -> int:
         """Put records in the order; return the sequence number of the last."""
         if records:
@@ -136,7 +143,7 @@
         """Take in a copy's answer."""
         follower = self.followers.get(host)
         if reply.outcome is CopyOutcome.REFUSED:
-            self.deposed = True
+            self._refused = True
         if follower is None or reply.outcome is CopyOutcome.REFUSED:
             return
         if follower.store not in ("", reply.store):
@@ -153,6 +160,13 @@
             follower.known = True
             self._advance()
 
+    def proves(self, host: HostId) -> bool:
+        """Tell whether a host's answers prove that it has joined no newer view."""
+        follower = self.followers.get(host)
+        if follower is None:
+            return False
+        return follower.counts or host != self.view.backup
+
     def matches(self, host: HostId, seq: int) -> bool:
         """Tell whether a host's copy is synced up to a sequence number."""
         follower = self.followers.get(host)
@@ -246,7 +260,7 @@
         known = [self.copy.last.seq]
         for host in self.required:
             follower = self.followers.get(host)
-            matched = follower.matched if follower and follower.known else 0
-            known.append(matched)
+            sure = follower is not None and follower.known and self.proves(host)
+            known.append(follower.matched if follower and sure else 0)
         self.committed = max(self.committed, min(known))
         self.copy.apply_to_table(self.committed)
--- a/currantwell/replicated_job_log.py
+++ b/currantwell/replicated_job_log.py
@@ -169,6 +169,7 @@
         for host in others:
             assert host is not None
             await self._require(host)
+            self._check()
             voucher = self._primary.vouch(host, following)
             try:
                 reply = await self._peers.ask(
@@ -213,6 +214,7 @@
                 await self._send(host)
 
     async def _send(self, host: HostId) -> None:
+        self._check()
         message = self._primary.message_for(host)
         sent_s = now_s()
         try:
@@ -223,15 +225,19 @@
         self._primary.on_reply(host, message, reply)
         if self._primary.deposed:
             raise Deposed(f"{host} has joined view {reply.joined}")
-        self._contact_s[host] = sent_s
+        if self._primary.proves(host):
+            self._contact_s[host] = sent_s
         self._tell_advanced()
 
     async def _until(self, holds: Callable[[], bool]) -> None:
         while not holds():
-            if self._primary.deposed:
-                raise Deposed(f"view {self.view.number} is over")
+            self._check()
             await self._advanced.wait()
 
+    def _check(self) -> None:
+        if self._primary.deposed:
+            raise Deposed(f"view {self.view.number} is over")
+
     def _wake(self) -> None:
         self._added.set()
         self._added = trio.Event()
--- a/tests/test_job_copy.py
+++ b/tests/test_job_copy.py
@@ -143,6 +143,8 @@
         primary = node.primary
         if primary is None:
             return
+        if primary.deposed:
+            return
         runs = primary.take()
         node.write(*runs)
         primary.synced(runs)
@@ -162,6 +164,8 @@
             del node.sending[task]
 
     def ask(self, host, to, message):
+        if self.nodes[host].primary.deposed:
+            return
         self.network.append((host, to, self.nodes[host].primary, message))
 
     def propose(self, node, backup):
@@ -262,7 +266,7 @@
         """Bring a copy up to date without delay."""
         primary = self.nodes[host].primary
         for _ in range(8):
-            if primary is None or to not in primary.followers:
+            if primary is None or primary.deposed or to not in primary.followers:
                 return
             packet = (host, to, primary, primary.message_for(to))
             self.deliver_message(packet)
