--- a/currantwell/view_steps.py
+++ b/currantwell/view_steps.py
@@ -34,6 +34,10 @@
         self._host = host
         self._views = views
 
+    def suspects(self) -> frozenset[HostId]:
+        """Return the hosts that do not answer, as far as this host knows."""
+        return self._views.suspects()
+
     async def wait_after(self, view: View) -> None:
         """Return once a newer view than this one is known."""
         while self._views.view(view.data_centre) == view:
--- a/tests/test_job_copy.py
+++ b/tests/test_job_copy.py
@@ -435,3 +435,27 @@
 def test_a_wrong_variant_is_caught(wrong):
     with pytest.raises(AssertionError):
         run_state_machine_as_test(wrong, settings=examples(1_000))
+
+
+@pytest.mark.parametrize("trusting", [False, True])
+def test_a_backup_that_lost_its_disk_proves_nothing(monkeypatch, trusting):
+    """A primary that has heard of nothing goes on with a backup that forgot all."""
+    if trusting:
+        monkeypatch.setattr(JobPrimary, "proves", lambda self, host: True)
+    world = World()
+    world.begin()
+    world.deliver_message(world.network.pop())
+    world.learn("a")
+    world.learn("b")
+    world.exchange("a", "b")
+    world.take_over(2, False)
+    world.repair("c")
+    world.take_over(3, False)
+    assert world.newest.primary == "c"
+    assert {"2", "3"} <= world.sent
+    world.lose_disk("b")
+    if trusting:
+        with pytest.raises(AssertionError, match="started twice"):
+            world.do_task("a", 2)
+    else:
+        world.do_task("a", 2)
