--- a/tests/test_replicated_job_log.py
+++ b/tests/test_replicated_job_log.py
@@ -89,12 +89,16 @@
             await log.commit([accepted(a_submission())])
 
 
-async def test_a_copy_without_its_disk_does_not_count(nursery, autojump_clock):
+async def test_nothing_is_committed_with_a_copy_that_lost_its_disk(autojump_clock):
     pair = Pair()
-    await pair.store(B, counts=False)
-    log = await pair.log(nursery)
-    await log.commit([accepted(a_submission())])
-    assert not log.counts(B)
+    backup = await pair.store(B, counts=False)
+    with trio.move_on_after(10.0) as scope:
+        async with trio.open_nursery() as nursery:
+            await pair.log(nursery)
+    assert scope.cancelled_caught
+    assert backup.copy.last.seq == 1
+    assert not backup.copy.counts_in(VIEW)
+    assert (await pair.store(A)).copy.applied.seq == 0
 
 
 async def test_a_snapshot_brings_up_a_copy_that_is_far_behind(nursery, autojump_clock):
