Show hosts and changes in the status, carry out agreed drains, say what a view is for

Cause: the status knew no other hosts and no changes; an agreed drain was kept but reached no endpoint; the audit trail called every view that a host proposed "copy complete", takeovers too.

The status lists registered hosts with their role and the newest entries of the audit trail. The host that runs the dispatcher drains each endpoint that is agreed to be drained whenever it says otherwise. The ground of a view is told from what it alters.

--- a/currantwell/admin_api.py
+++ b/currantwell/admin_api.py
@@ -270,15 +270,11 @@
     def _host(self, host: HostId) -> HostEntry:
         control = self._control
         record = control.hosts()[host]
-        view = control.view(record.data_centre)
-        role = ""
-        if view is not None and host in (view.primary, view.backup):
-            role = "primary" if host == view.primary else "backup"
         return HostEntry(
             host,
             record.data_centre,
             record.address,
-            role,
+            control.role(host),
             host == control.leader,
             host in control.suspects(),
         )
--- a/currantwell/control.py
+++ b/currantwell/control.py
@@ -35,6 +35,7 @@
     agreement_lost_logged,
 )
 from .state_image import HostRecord
+from .view_rules import describe_step
 from .views import View
 
 __all__ = ["Control"]
@@ -129,11 +130,15 @@
         """Return every data centre there is."""
         return frozenset(self.state.data_centres())
 
+    async def wait_state(self) -> None:
+        """Return once anything of the agreed state has changed."""
+        await self._changed.wait()
+
     async def wait_change(self) -> None:
         """Return once any view has changed."""
         await self._views_changed.wait()
 
-    async def propose_view(self, view: View, reason: str = "copy complete") -> bool:
+    async def propose_view(self, view: View) -> bool:
         """Have a view agreed; only the one after the newest can be.
 
         Raises
@@ -141,6 +146,7 @@
         AgreementLost
             If no majority confirmed it in time; it may still take effect.
         """
+        reason = describe_step(self.view(view.data_centre), view)
         return await self._client.propose_view(view, self.host, reason)
 
     @property
@@ -172,6 +178,14 @@
         command = msgspec.structs.replace(command, change=stamped)
         return await self._client.propose(command)
 
+    def role(self, host: HostId) -> str:
+        """Return what a host does for its data centre, nothing if it helps out."""
+        record = self.hosts().get(host)
+        view = self.view(record.data_centre) if record else None
+        if view is None or host not in (view.primary, view.backup):
+            return ""
+        return "primary" if host == view.primary else "backup"
+
     def hosts(self) -> dict[HostId, HostRecord]:
         """Return the hosts that registered."""
         return self.state.image.hosts
--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -13,9 +13,11 @@
 from .clock import SystemCalendar
 from .control import Control
 from .control_plane import build_control_plane
+from .control_status import ControlStatus
 from .copy_store import CopyStores
 from .dispatch_policies import dispatch_scheduler
 from .dispatcher import Dispatcher, DispatcherLimits
+from .drain_follower import DrainFollower
 from .gateway import JobGateway
 from .http_api import HttpApi, HttpParts
 from .http_body import BodyBudget
@@ -80,7 +82,8 @@
         server = HttpServer(api.app(), listener, own.drain_timeout_s)
         self.address = server.address
         monitor = LoopMonitor(self._metrics)
-        first, last = self._jobs.first(), self._jobs.last()
+        drains = DrainFollower(plane.control, lambda: self.dispatcher)
+        first, last = (drains, *self._jobs.first()), self._jobs.last()
         for service in (monitor, *plane.services, *first, server, router, *last):
             self.kernel.register(service)
         return await self.kernel.run(task_status)
@@ -100,7 +103,10 @@
     def _http_parts(self, gateway: JobGateway, control: Control) -> HttpParts:
         own = self.settings
         tokens = own.tokens_file
-        status = SystemStatus(own.host, own.data_centre, gateway, control, self)
+        known = ControlStatus(control)
+        status = SystemStatus(
+            own.host, own.data_centre, gateway, control, self, known, known
+        )
         authenticator = load_tokens(tokens) if tokens else OpenAuthenticator()
         budget = BodyBudget(own.bodies_in_flight_bytes)
         admin = AdminApi(control, authenticator, budget)
--- a/currantwell/view_rules.py
+++ b/currantwell/view_rules.py
@@ -8,7 +8,7 @@
 from .ids import DataCentre, Epoch, HostId
 from .views import View
 
-__all__ = ["first_view", "may_follow", "repair", "without"]
+__all__ = ["describe_step", "first_view", "may_follow", "repair", "without"]
 
 
 def may_follow(newest: View | None, view: View, hosts: Collection[HostId]) -> bool:
@@ -66,3 +66,16 @@
         return None
     backup = chosen[1] if len(chosen) > 1 else None
     return View(data_centre, Epoch(1), chosen[0], backup)
+
+
+def describe_step(newest: View | None, view: View) -> str:
+    """Return what a view alters against the one before, for the audit trail."""
+    if newest is None:
+        return "first view"
+    if view.primary != newest.primary:
+        return f"{view.primary} takes over from {newest.primary}"
+    if view.backup == newest.backup:
+        return f"{view.primary} begins anew"
+    if view.backup is None:
+        return f"{view.primary} goes on without {newest.backup}"
+    return f"{view.backup} holds a whole copy"
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -12,6 +12,7 @@
 from currantwell.audit import AuditArchive
 from currantwell.changes import (
     Change,
+    ProposeView,
     RegisterHost,
     SetPreset,
     Verdict,
@@ -37,6 +38,7 @@
 from currantwell.records import AttemptEnded, AttemptStarted, JobAccepted
 from currantwell.state_image import HostRecord
 from currantwell.submission import RestartRule, Submission, TaskSpec, digest_of
+from currantwell.views import View
 
 KEY = b"a key of tests"
 KEY_TEXT = "k" * 64 + "\n"
@@ -163,6 +165,10 @@
     return RegisterHost(host, data_centre, "127.0.0.1:1", disk, copies, 1.0)
 
 
+def view(number, primary, backup=None):
+    return ProposeView(View("valdres", number, primary, backup), "h-1", "why", 3.0)
+
+
 def apply(state: AgreedState, *commands) -> Verdict:
     """Apply commands in order and return the last verdict."""
     for command in commands:
--- a/tests/test_agreed_state.py
+++ b/tests/test_agreed_state.py
@@ -8,7 +8,6 @@
 from currantwell.changes import (
     ActivatePreset,
     DrainEndpoint,
-    ProposeView,
     PutPreset,
     RemoveHost,
     SetQuota,
@@ -20,17 +19,13 @@
 from currantwell.presets import PEAK, Preset
 from currantwell.quotas import DEFAULT_QUOTA, Quota
 from currantwell.views import View
-from tests.builders import apply, change, registration, set_preset
+from tests.builders import apply, change, registration, set_preset, view
 
 
 def activated(version):
     return ActivatePreset(version, "h-1", "all hosts acknowledged", 2.0)
 
 
-def view(number, primary, backup=None):
-    return ProposeView(View("valdres", number, primary, backup), "h-1", "why", 3.0)
-
-
 def test_a_preset_is_in_force_after_both_phases():
     state = AgreedState()
     assert apply(state, set_preset("peak")).version == 2
--- a/tests/test_view_rules.py
+++ b/tests/test_view_rules.py
@@ -1,4 +1,6 @@
-from currantwell.view_rules import first_view, repair, without
+import pytest
+
+from currantwell.view_rules import describe_step, first_view, repair, without
 from currantwell.views import View
 
 
@@ -17,3 +19,18 @@
     assert first_view("valdres", ["h-2", "h-1"], 2) == View("valdres", 1, "h-1", "h-2")
     assert first_view("valdres", ["h-1"], 2) is None
     assert first_view("valdres", [], 1) is None
+
+
+@pytest.mark.parametrize(
+    ("newest", "primary", "backup", "described"),
+    [
+        (None, "h-1", None, "first view"),
+        (("h-1", "h-2"), "h-2", None, "h-2 takes over from h-1"),
+        (("h-1", "h-2"), "h-1", None, "h-1 goes on without h-2"),
+        (("h-1", None), "h-1", "h-3", "h-3 holds a whole copy"),
+        (("h-1", None), "h-1", None, "h-1 begins anew"),
+    ],
+)
+def test_the_ground_of_a_view_is_told(newest, primary, backup, described):
+    earlier = newest and View("valdres", 1, *newest)
+    assert describe_step(earlier, View("valdres", 2, primary, backup)) == described
