--- a/currantwell/control_status.py
+++ b/currantwell/control_status.py
@@ -1,53 +1,56 @@
-"""What the status of a host tells of the agreed state."""
+"""What the control service knows, in the words of the status page."""
 
+import datetime
 from collections.abc import Sequence
-from datetime import UTC, datetime
 
 from .audit import AuditEntry
 from .codes import ResultCode
 from .control import Control
 from .ids import HostId
-from .state_image import HostRecord
 from .status import Change, HostState
 
 __all__ = ["ControlStatus"]
 
-SERVING = "serving"
-SUSPECTED = "does not answer"
-
 
 class ControlStatus:
-    """Lists the hosts and the recent changes, as this host knows them.
+    """Lists hosts and recent changes; both a `HostLister` and a `ChangeSource`.
 
     Parameters
     ----------
     control : Control
-        The agreed state on this host.
+        The control service of this host.
     """
 
     def __init__(self, control: Control) -> None:
         self._control = control
 
     def hosts(self) -> Sequence[HostState]:
-        """Return every host that registered."""
-        known = sorted(self._control.hosts().items())
-        return [self._state(host, record) for host, record in known]
+        """Return every host that is registered."""
+        return [self._state(host) for host in sorted(self._control.hosts())]
 
     def recent_changes(self, most: int) -> Sequence[Change]:
         """Return so many changes and repairs at most, newest first."""
-        newest = self._control.state.audit.entries[-most:] if most > 0 else []
+        newest = self._control.state.audit.entries[-most:]
         return [_change(entry) for entry in reversed(newest)]
 
-    def _state(self, host: HostId, record: HostRecord) -> HostState:
-        suspected = host in self._control.suspects()
-        state = SUSPECTED if suspected else SERVING
-        role = self._control.role(host)
-        return HostState(host, record.data_centre, state, role)
+    def _state(self, host: HostId) -> HostState:
+        control = self._control
+        data_centre = control.hosts()[host].data_centre
+        view = control.view(data_centre)
+        roles = []
+        if view is not None and host == view.primary:
+            roles.append("primary")
+        if view is not None and host == view.backup:
+            roles.append("backup")
+        if host == control.leader:
+            roles.append("leader")
+        state = "does not answer" if host in control.suspects() else "serving"
+        return HostState(host, data_centre, state, ", ".join(roles))
 
 
 def _change(entry: AuditEntry) -> Change:
-    at = datetime.fromtimestamp(entry.unix_s, UTC).isoformat(" ", "seconds")
-    what = f"{entry.kind} {entry.subject}"
+    at = datetime.datetime.fromtimestamp(entry.unix_s, datetime.UTC)
+    what = f"{entry.kind} {entry.subject}: {entry.before} -> {entry.after}"
     if entry.outcome is not ResultCode.ACCEPTED:
-        what = f"{what}: refused, {entry.outcome.name}"
-    return Change(at, entry.author, what, entry.reason)
+        what += f" ({entry.outcome.name})"
+    return Change(at.isoformat(" ", "seconds"), entry.author, what, entry.reason)
--- a/currantwell/roles.py
+++ b/currantwell/roles.py
@@ -16,13 +16,13 @@
 from . import events
 from .answers import Refusal
 from .clock import now_s
+from .copy_messages import ViewJoined, ViewVouched
 from .copy_store import CopyStore, CopyStores
 from .dispatcher import Dispatcher
 from .endpoint_protocol import Announcement
 from .errors import AgreementLost, Deposed, PeerUnreachable, StorageFailed
 from .ids import DataCentre, EndpointId, Epoch, HostId, Incarnation
 from .job_backup import JobBackup
-from .job_copy import ViewJoined, ViewVouched
 from .job_log import JobLog
 from .kernel import ServiceName
 from .peers import PeerMessage, PeerNetwork
@@ -45,9 +45,12 @@
 PAUSE_S = 1.0
 PROPOSE_S = 3.0
 LEAVE_S = 3.0
+LEFT_FOR_S = 5.0
 REPAIR_PAUSE_S = 2.0
 NOT_WHOLE_PAUSE_S = 5.0
 COMPACT_CHECK_S = 1.0
+AWAY_AFTER_S = 0.2
+COPIES = 2
 FIRST = Epoch(1)
 
 MakeDispatcher = Callable[[DataCentre, Epoch, JobLog], Dispatcher]
@@ -149,7 +152,7 @@
         self._make_dispatcher = make_dispatcher
         self._limits = limits
         self._acting: dict[DataCentre, _Acting] = {}
-        self._leaving: set[tuple[DataCentre, HostId]] = set()
+        self._leaving: dict[tuple[DataCentre, HostId], float] = {}
         self._draining = False
         self._endpoints: dict[DataCentre, tuple[Announcement, ...]] = {}
         peers.handle(BackupLeaves, self._note_leave)
@@ -185,8 +188,9 @@
         """Hand the jobs over to the backup, or finish them."""
         self._draining = True
         for acting in list(self._acting.values()):
-            if not await self._hand_over(acting) and acting.dispatcher is not None:
-                await acting.dispatcher.drain()
+            with contextlib.suppress(Deposed):
+                if not await self._hand_over(acting) and acting.dispatcher:
+                    await acting.dispatcher.drain()
 
     async def leave(self) -> None:
         """Have this host dropped as a backup before it stops."""
@@ -246,17 +250,11 @@
             await trio.sleep(TICK_S)
 
     async def _vouch_by_rule(self, view: View, store: CopyStore) -> None:
-        """Vouch for this host's copy where no one else had to.
-
-        In view 1 nothing is told; and what was told in the view before this one
-        stands on each copy that counted in it, so that one of them alone may follow.
-        """
+        """Vouch for this host's copy where no one else had to."""
         copy = store.copy
         if view.number == FIRST and not copy.counts_in(self._alone_after(view)):
             await self._vouch_first(view, store)
-        before = Epoch(view.number - 1)
-        alone = view == View(view.data_centre, view.number, self._host)
-        if alone and copy.joined <= before and copy.counts_in_number(before):
+        if copy.may_follow_alone(view, self._host):
             await store.write([ViewVouched(view)])
 
     async def _vouch_first(self, view: View, store: CopyStore) -> None:
@@ -336,9 +334,13 @@
             await trio.sleep(TICK_S)
 
     async def _note_leave(self, sender: HostId, message: BackupLeaves) -> LeaveNoted:
-        self._leaving.add((message.data_centre, sender))
+        self._leaving[message.data_centre, sender] = now_s()
         return LeaveNoted()
 
+    def _leaves(self, data_centre: DataCentre, host: HostId) -> bool:
+        left_s = self._leaving.get((data_centre, host), float("-inf"))
+        return now_s() - left_s < LEFT_FOR_S
+
     async def _note_endpoints(
         self, sender: HostId, message: EndpointsKnown
     ) -> EndpointsNoted:
@@ -364,7 +366,6 @@
     async def _act(self, view: View, store: CopyStore) -> None:
         log = ReplicatedJobLog(view, store, self._peers, self._limits.copies)
         acting = _Acting(view, store, log, now_s())
-        self._leaving.clear()
         self._acting[view.data_centre] = acting
         try:
             async with trio.open_nursery() as nursery:
@@ -389,13 +390,17 @@
             await trio.sleep(TICK_S)
             if self._draining:
                 continue
-            if acting.view.backup is not None:
-                if self._is_gone(acting, acting.view.backup):
-                    events.BACKUP_DROPPED.log(backup=acting.view.backup)
-                    await self._propose(acting.store, self._alone_after(acting.view))
-            elif acting.dispatcher is not None:
-                for host in self._candidates(acting.view.data_centre):
-                    await self._try_backup(acting, acting.dispatcher, host)
+            backup = acting.view.backup
+            if backup is not None and self._is_gone(acting, backup):
+                events.BACKUP_DROPPED.log(backup=backup)
+                await self._propose(acting.store, self._alone_after(acting.view))
+                continue
+            if acting.dispatcher is None:
+                continue
+            if self._is_away(acting.view) and await self._hand_over(acting):
+                return
+            for host in self._candidates(acting):
+                await self._try_backup(acting, acting.dispatcher, host)
 
     async def _share_endpoints(self, acting: _Acting) -> None:
         """Keep the backup informed of the endpoints; they announce themselves rarely.
@@ -421,27 +426,47 @@
                 shared = names
 
     def _is_gone(self, acting: _Acting, backup: HostId) -> bool:
-        if (acting.view.data_centre, backup) in self._leaving:
+        if self._leaves(acting.view.data_centre, backup):
             return True
         silent_s = min(acting.log.silent_s(backup), now_s() - acting.begun_s)
         return silent_s > self._limits.drop_after_s or not acting.log.counts(backup)
 
-    def _candidates(self, data_centre: DataCentre) -> list[HostId]:
-        """Return the other hosts of the data centre."""
-        places = self._hosts.items()
-        return sorted(h for h, p in places if p == data_centre and h != self._host)
+    def _candidates(self, acting: _Acting) -> list[HostId]:
+        """Return the hosts that would be a better backup than the present one.
+
+        A host of another data centre serves while no other of this one can, if two
+        copies are asked for; one of this data centre takes its place later.
+        """
+        data_centre, backup = acting.view.data_centre, acting.view.backup
+        able = set(self._hosts) - {self._host, backup} - self._views.suspects()
+        near = sorted(host for host in able if self._hosts[host] == data_centre)
+        if backup is not None:
+            return [] if self._hosts[backup] == data_centre else near
+        waited = now_s() - acting.begun_s > AWAY_AFTER_S
+        if near or not waited or self._limits.copies < COPIES:
+            return near
+        return sorted(able)
+
+    def _is_away(self, view: View) -> bool:
+        """Tell whether a backup in the data centre could run its jobs from nearer."""
+        return (
+            view.backup is not None
+            and self._hosts[self._host] != view.data_centre
+            and self._hosts[view.backup] == view.data_centre
+        )
 
     async def _try_backup(
         self, acting: _Acting, dispatcher: Dispatcher, host: HostId
     ) -> None:
         """Bring a host's copy up to date and propose it as the backup."""
+        if self._leaves(acting.view.data_centre, host):
+            return
         begun_s = now_s()
         acting.log.follow(host)
         while not acting.log.up_to_date(host):
             await trio.sleep(TICK_S / 4)
             silent_s = min(acting.log.silent_s(host), now_s() - begun_s)
-            left = (acting.view.data_centre, host) in self._leaving
-            if silent_s > self._limits.drop_after_s or left or self._draining:
+            if silent_s > self._limits.drop_after_s or self._draining:
                 acting.log.unfollow(host)
                 return
         number = Epoch(acting.view.number + 1)
