--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -17,7 +17,6 @@
 from .copy_store import CopyStores
 from .dispatch_policies import dispatch_scheduler
 from .dispatcher import Dispatcher, DispatcherLimits
-from .drain_follower import DrainFollower
 from .gateway import JobGateway
 from .http_api import HttpApi, HttpParts
 from .http_body import BodyBudget
@@ -82,8 +81,7 @@
         server = HttpServer(api.app(), listener, own.drain_timeout_s)
         self.address = server.address
         monitor = LoopMonitor(self._metrics)
-        drains = DrainFollower(plane.control, lambda: self.dispatcher)
-        first, last = (drains, *self._jobs.first()), self._jobs.last()
+        first, last = self._jobs.first(), self._jobs.last()
         for service in (monitor, *plane.services, *first, server, router, *last):
             self.kernel.register(service)
         return await self.kernel.run(task_status)
@@ -130,6 +128,7 @@
             self._calendar,
             limits,
             self._metrics,
+            drains=self._control,
         )
 
     def _journal(self, name: str) -> Journal:
--- a/currantwell/remote_gateway.py
+++ b/currantwell/remote_gateway.py
@@ -16,7 +16,7 @@
 from .codes import ResultCode, is_not_run
 from .endpoint_protocol import Announcement, AnnouncementReply
 from .errors import Deposed, PeerUnreachable
-from .ids import DataCentre, EndpointId, HostId, JobId, Operator
+from .ids import DataCentre, HostId, JobId
 from .owner_messages import (
     RESULTS,
     AskEnded,
@@ -130,15 +130,6 @@
         told: list[Announcement] | Refusal = await self._call("endpoints")
         return told
 
-    async def drain_endpoint(
-        self, endpoint: EndpointId, draining: bool, operator: Operator
-    ) -> Refusal | None:
-        """Have an endpoint get no new starts, or get them again."""
-        told: Refusal | None = await self._call(
-            "drain_endpoint", endpoint, draining, operator
-        )
-        return told
-
     async def run(self) -> None:
         """Ask remote owners which of the jobs waited for here have ended."""
         while True:
