--- a/currantwell/control.py
+++ b/currantwell/control.py
@@ -37,6 +37,7 @@
     agreement_lost_logged,
 )
 from .state_image import HostRecord
+from .view_rules import describe_step
 from .views import View
 
 __all__ = ["Control"]
@@ -139,7 +140,7 @@
         """Return once any view has changed."""
         await self._views_changed.wait()
 
-    async def propose_view(self, view: View, reason: str = "copy complete") -> bool:
+    async def propose_view(self, view: View) -> bool:
         """Have a view agreed; only the one after the newest can be.
 
         Raises
@@ -147,6 +148,7 @@
         AgreementLost
             If no majority confirmed it in time; it may still take effect.
         """
+        reason = describe_step(self.view(view.data_centre), view)
         return await self._client.propose_view(view, self.host, reason)
 
     @property
@@ -178,6 +180,14 @@
         command = msgspec.structs.replace(command, change=stamped)
         return await self._client.propose(command)
 
+    def role(self, host: HostId) -> str:
+        """Return what a host does for its data centre, nothing if it helps out."""
+        record = self.hosts().get(host)
+        view = self.view(record.data_centre) if record else None
+        if view is None or host not in (view.primary, view.backup):
+            return ""
+        return "primary" if host == view.primary else "backup"
+
     def hosts(self) -> dict[HostId, HostRecord]:
         """Return the hosts that registered."""
         return self.state.image.hosts
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -13,7 +13,6 @@
 from currantwell.audit import AuditQuery
 from currantwell.codes import ResultCode
 from currantwell.operator_client import OperatorClient
-from currantwell.views import View
 from tests.builders import KEY_TEXT, free_addresses
 from tests.processes import command, running, wait_until
 
@@ -115,6 +114,11 @@
         wait_followed([frozen, hosts[0]], "ordinary")
 
 
+def copied(served):
+    """Tell whether the hosts have left their first views, and a backup is complete."""
+    return served is not None and served.number > 2 and served.backup is not None
+
+
 def view(host):
     return ask(host, OperatorClient.views).views.get("valdres")
 
