--- a/currantwell/control.py
+++ b/currantwell/control.py
@@ -4,6 +4,8 @@
 proposed.
 """
 
+from collections.abc import Collection
+
 import msgspec
 import trio
 
@@ -20,7 +22,7 @@
 from .clock import CalendarClock, now_s
 from .codes import ResultCode
 from .errors import AgreementLost, PeerUnreachable
-from .ids import DataCentre, HostId, Team
+from .ids import DataCentre, EndpointId, HostId, Team
 from .kernel import ServiceName
 from .leadership import Leadership, Renew, Renewed
 from .peers import PeerNetwork
@@ -28,6 +30,7 @@
 from .quotas import Quota
 from .settings_lease import RENEW_S, SettingsLease, preset_to_follow
 from .state_client import (
+    CONFIRM_EVERY_S,
     CONFIRM_TIMEOUT_S,
     SharedConfirm,
     StateClient,
@@ -38,6 +41,7 @@
 
 __all__ = ["Control"]
 
+RENEW_TIMEOUT_S = CONFIRM_EVERY_S + CONFIRM_TIMEOUT_S
 RETRY_S = 0.1
 REGISTER_CHECK_S = 5.0
 
@@ -119,6 +123,10 @@
         """Return the quota of a team."""
         return self.state.quota(team)
 
+    def drained(self) -> Collection[EndpointId]:
+        """Return the endpoints that operators have drained."""
+        return self.state.image.drained
+
     def view(self, data_centre: DataCentre) -> View | None:
         """Return the newest view that this host knows of a data centre."""
         return self.state.image.views.get(data_centre)
@@ -202,8 +210,10 @@
     async def _renew_loop(self) -> None:
         while True:
             told = self.state.proposed_version
-            renewed = await self._renew(told)
-            with trio.move_on_after(RENEW_S if renewed else RETRY_S):
+            next_s = now_s() + RENEW_S
+            if not await self._renew(told):
+                next_s = now_s() + RETRY_S
+            with trio.move_on_after(max(0.0, next_s - now_s())):
                 while self.state.proposed_version == told:
                     await self._changed.wait()
 
@@ -220,7 +230,7 @@
                 self._lease.renew(asked_s, self.state.image.index)
                 return True
             message = Renew(proposed, self._echo)
-            reply = await self._peers.ask(leader, message, Renewed, CONFIRM_TIMEOUT_S)
+            reply = await self._peers.ask(leader, message, Renewed, RENEW_TIMEOUT_S)
         except (AgreementLost, PeerUnreachable):
             return False
         self._echo = reply.number
