Count an attempt found at an endpoint as started when found

A recovered attempt had a start time of zero, so that after a takeover each one of an idempotent task would have looked like a straggler. Its test was seen red without the change.

--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -130,6 +130,7 @@
 
     def hold(self, ref: AttemptRef, endpoint: EndpointId, task: WaitingTask) -> None:
         """Count an attempt that an endpoint was found to hold."""
+        task.started_s = max(task.started_s, task.since_s)
         self._placed[ref] = (endpoint, task)
         if endpoint in self._endpoints:
             self._endpoints[endpoint].hold(ref, task)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,5 +1,6 @@
 """The scheduler with the policies of a host."""
 
+import dataclasses
 import random
 
 import pytest
@@ -138,3 +139,12 @@
     refused = JobRequest("refused", "team", (TaskSpec("x"),), 0.1)
     assert scheduler.admit(refused, 0.0) is not None
     assert "NOT_RUN_DEADLINE" in scheduler.explain("refused")[0]
+
+
+def test_an_attempt_found_at_an_endpoint_counts_as_started_when_found(scheduler):
+    earn_trust(scheduler)
+    add(scheduler, restart=RestartRule.IF_OVER, now_s=10.0)
+    placed = scheduler.plan(10.0)[0]
+    found = dataclasses.replace(placed.task, started_s=0.0)
+    scheduler.hold(placed.ref, "e", found)
+    assert found.started_s == 10.0
