Prove proposals, formation and restarts of the agreement

Cause: that a resend is applied once, that a cluster begins only with all its first hosts and that all hosts may be killed at once had no test. A burst of large commands made requests and records larger than a frame may be.

--- a/currantwell/consensus_leader.py
+++ b/currantwell/consensus_leader.py
@@ -19,6 +19,7 @@
 __all__ = ["Leadership", "Progress", "Read", "Timing"]
 
 MAX_BATCH_ENTRIES = 256
+MAX_BATCH_BYTES = 4 * 1024 * 1024
 _NEVER_S = float("inf")
 
 
@@ -258,7 +259,7 @@
         entries: Sequence[Entry] = ()
         if previous_term is not None and not progress.waiting:
             last = min(self._log.last_index, previous + MAX_BATCH_ENTRIES)
-            entries = self._log.slice(previous + 1, last)
+            entries = _first_of(self._log.slice(previous + 1, last))
         progress.sent_s = now_s
         progress.answered = False
         progress.told_commit = commit
@@ -276,3 +277,13 @@
             None if member == self._member else self.peers[member]
             for member in self._log.membership.voters
         ]
+
+
+def _first_of(entries: Sequence[Entry]) -> Sequence[Entry]:
+    """Return the first entries, as many as one request carries, at least one."""
+    size_bytes = 0
+    for count, entry in enumerate(entries):
+        size_bytes += len(entry.command or b"")
+        if size_bytes > MAX_BATCH_BYTES:
+            return entries[: max(1, count)]
+    return entries
--- a/currantwell/raft_storage.py
+++ b/currantwell/raft_storage.py
@@ -34,6 +34,8 @@
 
 _Record = _Started | HardState | _SnapshotTaken | _EntriesAppended
 
+RECORD_ENTRIES = 128
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[_Record] = msgspec.msgpack.Decoder(_Record)
 
@@ -92,8 +94,7 @@
             records.append(output.hard_state)
         if output.snapshot is not None:
             records.append(_SnapshotTaken(output.snapshot))
-        if output.entries:
-            records.append(_EntriesAppended(tuple(output.entries)))
+        records.extend(_records_of(output.entries))
         if records:
             await self._write(records)
 
@@ -112,8 +113,7 @@
             self.hard_state,
             _SnapshotTaken(snapshot),
         ]
-        if kept:
-            records.append(_EntriesAppended(tuple(kept)))
+        records.extend(_records_of(kept))
         self._journal.replace([_encoder.encode(record) for record in records])
         self.snapshot, self.entries = snapshot, kept
 
@@ -132,3 +132,11 @@
         else:
             kept = record.entries[0].index - self.snapshot.index - 1
             self.entries[kept:] = record.entries
+
+
+def _records_of(entries: Sequence[Entry]) -> list[_EntriesAppended]:
+    """Return records, none of them too large for the journal."""
+    return [
+        _EntriesAppended(tuple(entries[first : first + RECORD_ENTRIES]))
+        for first in range(0, len(entries), RECORD_ENTRIES)
+    ]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -54,11 +54,11 @@
 class AgreementCluster:
     """Hosts in one process that agree over loopback."""
 
-    def __init__(self, nursery, hosts=3, **options):
+    def __init__(self, nursery, hosts=3, voters=None, **options):
         self._nursery = nursery
         names = [HostId(f"host-{i}") for i in range(hosts)]
         self.addresses = dict(zip(names, free_addresses(hosts), strict=True))
-        self.voters = names
+        self.hosts, self.voters = names, names[:voters]
         self.journals = {name: MemoryJournal() for name in names}
         self.running = {}
         self._options = options
@@ -85,10 +85,16 @@
         run.ended.set()
 
     async def start_all(self):
-        for name in self.voters:
+        for name in self.hosts:
             await self.start(name)
         await self.leader()
 
+    async def lose_disk(self, name):
+        """Kill a host and run it again with an empty journal."""
+        await self.kill(name)
+        self.journals[name] = MemoryJournal()
+        return await self.start(name)
+
     async def kill(self, name):
         run = self.running.pop(name)
         run.scope.cancel()
--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -40,22 +40,65 @@
         assert run.state.commands == ["before", "after"]
 
 
-async def test_a_lost_disk_rejoins_as_a_new_member_and_votes_again():
+@pytest.mark.parametrize("place", [0, 1])
+async def test_a_lost_disk_rejoins_as_a_new_member_and_votes_again(place):
+    """Also that of the host which began the cluster, and never as a second one."""
     async with cluster_of(3) as cluster:
-        leader = await cluster.leader()
-        await leader.agreement.propose(b"before")
-        lost = next(name for name in cluster.voters if name != leader.host)
+        lost, other, last = cluster.voters[place:] + cluster.voters[:place]
         former = cluster.running[lost].agreement.member
-        await cluster.kill(lost)
-        cluster.journals[lost] = type(cluster.journals[lost])()
-        again = await cluster.start(lost)
-        while again.agreement.member not in leader.agreement.membership.voters:
+        await cluster.running[other].agreement.propose(b"before")
+        again = await cluster.lose_disk(lost)
+        while again.agreement.member not in again.agreement.membership.voters:
             await trio.sleep(0.01)
-        assert former not in leader.agreement.membership.members
-        other = next(n for n in cluster.voters if n not in (lost, leader.host))
+        assert former not in again.agreement.membership.members
         await cluster.kill(other)
         await again.agreement.propose(b"after")
         assert again.state.commands == ["before", "after"]
+        assert cluster.running[last].agreement.membership.voters
+
+
+async def test_no_cluster_begins_while_a_first_host_is_missing():
+    async with trio.open_nursery() as nursery:
+        cluster = AgreementCluster(nursery, 3)
+        for name in cluster.voters[:2]:
+            await cluster.start(name)
+        with trio.move_on_after(1.5):
+            await cluster.leader()
+            raise AssertionError("a cluster began without a host")
+        await cluster.start(cluster.voters[2])
+        with trio.fail_after(10):
+            await cluster.leader()
+        nursery.cancel_scope.cancel()
+
+
+async def test_all_hosts_killed_at_once_keep_what_was_accepted():
+    async with cluster_of(3, snapshot_every=10) as cluster:
+        commands = [str(number) for number in range(25)]
+        for command in commands:
+            await cluster.running[cluster.voters[0]].agreement.propose(command.encode())
+        for name in cluster.voters:
+            await cluster.kill(name)
+        await cluster.start_all()
+        await cluster.running[cluster.voters[0]].agreement.propose(b"after")
+        await cluster.wait_alike([*commands, "after"])
+
+
+async def test_a_host_without_a_vote_follows():
+    async with cluster_of(4, voters=3) as cluster:
+        follower = cluster.running["host-3"]
+        assert await follower.agreement.propose(b"one") == b"1"
+        await follower.agreement.confirm()
+        assert len(follower.agreement.membership.voters) == 3
+        assert follower.agreement.member in follower.agreement.membership.followers
+
+
+async def test_a_removed_host_takes_part_no_more():
+    async with cluster_of(3) as cluster:
+        leader = await cluster.leader()
+        other = next(n for n in cluster.voters if n != leader.host)
+        await cluster.running[other].agreement.remove(leader.host)
+        await cluster.running[other].agreement.propose(b"after")
+        assert len(cluster.running[other].agreement.membership.members) == 2
 
 
 async def test_a_minority_accepts_and_confirms_nothing():
