--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -81,6 +81,33 @@
 STORAGE_FAILED = _event(
     400, "storage_failed", Level.ERROR, "A disk refused; the host stops."
 )
+PRIMARY_STARTED = _event(
+    700, "primary_started", Level.INFO, "This host runs the jobs of a data centre."
+)
+TAKEOVER_PROPOSED = _event(
+    701,
+    "takeover_proposed",
+    Level.WARNING,
+    "The primary is silent; this host, its backup, proposes to take over.",
+)
+BACKUP_DROPPED = _event(
+    702,
+    "backup_dropped",
+    Level.WARNING,
+    "The backup is silent, leaves or lost its copy; the primary goes on without it.",
+)
+BACKUP_ADDED = _event(
+    703, "backup_added", Level.INFO, "Another host holds a whole copy of all jobs."
+)
+COPY_NOT_WHOLE = _event(
+    704,
+    "copy_not_whole",
+    Level.ERROR,
+    "The view names this host, but its disk does not hold what that takes; it waits.",
+)
+HANDED_OVER = _event(
+    705, "handed_over", Level.INFO, "This host stops; its backup runs the jobs now."
+)
 LEADER_CHANGED = _event(
     500, "leader_changed", Level.INFO, "This host follows another leader, or none."
 )
@@ -99,6 +126,21 @@
     Level.WARNING,
     "This host has no agreed state and asks to be taken in.",
 )
+PRESET_ACTIVATED = _event(
+    600,
+    "preset_activated",
+    Level.INFO,
+    "The proposed preset is in force; ground says why it may be.",
+)
+VIEW_REPAIRED = _event(
+    601, "view_repaired", Level.WARNING, "A data centre passes over a lost host."
+)
+AGREEMENT_LOST = _event(
+    602, "agreement_lost", Level.WARNING, "No majority of hosts confirmed in time."
+)
+REGISTRATION_REFUSED = _event(
+    603, "registration_refused", Level.ERROR, "The hosts refuse to take this one in."
+)
 REQUEST_FAILED = _event(
     900, "request_failed", Level.ERROR, "A request met an unforeseen error."
 )
--- a/currantwell/http_api.py
+++ b/currantwell/http_api.py
@@ -17,11 +17,11 @@
 from .answers import Answer, Refusal, request_answer
 from .auth import Authenticator, OpenAuthenticator
 from .codes import ResultCode
-from .endpoint_protocol import Announcement
+from .endpoint_protocol import Announcement, check_announcement
 from .errors import BodyMalformed, InvalidRequest, NotAuthorized
 from .gateway import JobGateway
 from .http_body import BodyBudget, read_body
-from .http_replies import Guard, json_reply, no_route, reply, text_reply
+from .http_replies import Guard, Handler, json_reply, no_route, reply, text_reply
 from .ids import (
     DataCentre,
     EndpointId,
@@ -62,6 +62,8 @@
         Knows the load of the host.
     status : StatusSource or None
         Knows the state of the system.
+    routes : tuple
+        Method, path and handler of each further route.
     """
 
     authenticator: Authenticator = dataclasses.field(default_factory=OpenAuthenticator)
@@ -69,6 +71,7 @@
     metrics: Metrics = dataclasses.field(default_factory=Metrics)
     load: LoadSource = dataclasses.field(default_factory=NoLoad)
     status: StatusSource | None = None
+    routes: tuple[tuple[str, str, Handler], ...] = ()
 
 
 class HttpApi:
@@ -98,6 +101,7 @@
         self._gateway = gateway
         self._parts = parts or HttpParts()
         self._auth = self._parts.authenticator
+        self._endpoint_budget = BodyBudget()
         self.ready = True
 
     def app(self) -> Starlette:
@@ -120,6 +124,7 @@
             ("GET", "/metrics", self.get_metrics),
             ("GET", "/healthz", self.get_health),
             ("GET", "/readyz", self.get_ready),
+            *self._parts.routes,
         ]
         return Starlette(
             routes=[
@@ -177,12 +182,12 @@
         """Take in an endpoint's announcement."""
         if not self._auth.endpoint(request.headers):
             raise NotAuthorized("endpoints announce themselves with a token")
-        async with self._body(request) as body:
+        async with read_body(request, self._endpoint_budget, "endpoints") as body:
             try:
                 announcement = _announcement_decoder.decode(body)
             except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
                 raise BodyMalformed("body", str(error)) from None
-        check_name("endpoint", announcement.endpoint)
+        check_announcement(announcement)
         if announcement.data_centre != self._data_centre:
             detail = f"this host serves {self._data_centre}"
             raise InvalidRequest("data_centre", detail)
--- a/currantwell/job_log.py
+++ b/currantwell/job_log.py
@@ -6,6 +6,7 @@
 import trio
 
 from .errors import StorageFailed
+from .ids import JobId
 from .journal import Journal
 from .records import Record, decode_record, encode_record
 
@@ -19,6 +20,28 @@
         """Iterate over the records committed earlier, oldest first."""
         ...
 
+    def second_copy_missing(self) -> bool:
+        """Tell whether fewer hosts hold a copy than a new job needs."""
+        ...
+
+    def unconfirmed_jobs(self) -> frozenset[JobId]:
+        """Return recovered jobs that too few hosts may hold to tell of them."""
+        ...
+
+    def confirmed_age_s(self) -> float:
+        """Return how long ago it was certain that no newer view had taken over."""
+        ...
+
+    async def confirm(self) -> None:
+        """Return once it is certain that no newer view took over before the call.
+
+        Raises
+        ------
+        Deposed
+            If one has.
+        """
+        ...
+
     async def commit(self, records: Sequence[Record]) -> None:
         """Return once the records are durable on every copy of the view.
 
@@ -54,6 +77,21 @@
         """Iterate over the records committed earlier, oldest first."""
         return (decode_record(data) for data in self._journal.read())
 
+    def second_copy_missing(self) -> bool:
+        """One copy is enough."""
+        return False
+
+    def unconfirmed_jobs(self) -> frozenset[JobId]:
+        """One copy is enough."""
+        return frozenset()
+
+    def confirmed_age_s(self) -> float:
+        """No one else can take over."""
+        return 0.0
+
+    async def confirm(self) -> None:
+        """No one else can take over."""
+
     async def commit(self, records: Sequence[Record]) -> None:
         """Return once the records are synced."""
         self._waiting.extend(encode_record(record) for record in records)
--- a/currantwell/metrics.py
+++ b/currantwell/metrics.py
@@ -15,6 +15,7 @@
 
 from .clock import now_s
 from .codes import ResultCode
+from .ids import JobId
 from .job_log import JobLog
 from .kernel import ServiceName
 from .records import Record
@@ -178,6 +179,22 @@
         """Iterate over the records committed earlier, oldest first."""
         return self._job_log.recover()
 
+    def second_copy_missing(self) -> bool:
+        """Tell whether fewer hosts hold a copy than a new job needs."""
+        return self._job_log.second_copy_missing()
+
+    def unconfirmed_jobs(self) -> frozenset[JobId]:
+        """Return recovered jobs that too few hosts may hold to tell of them."""
+        return self._job_log.unconfirmed_jobs()
+
+    def confirmed_age_s(self) -> float:
+        """Return how long ago it was certain that no newer view had taken over."""
+        return self._job_log.confirmed_age_s()
+
+    async def confirm(self) -> None:
+        """Return once it is certain that no newer view took over before the call."""
+        await self._job_log.confirm()
+
     async def commit(self, records: Sequence[Record]) -> None:
         """Return once the records are durable on every copy of the view."""
         begun_s = now_s()
--- a/currantwell/views.py
+++ b/currantwell/views.py
@@ -50,6 +50,20 @@
         """Return once any view has changed."""
         ...
 
+    def suspects(self) -> frozenset[HostId]:
+        """Return the hosts that do not answer, as far as this host knows."""
+        ...
+
+    async def confirm(self) -> None:
+        """Return once this host knows all views agreed before the call.
+
+        Raises
+        ------
+        AgreementLost
+            If no majority confirmed it in time.
+        """
+        ...
+
     async def propose_view(self, view: View) -> bool:
         """Have a view agreed; only the one after the newest can be.
 
@@ -91,6 +105,13 @@
         """Return once any view has changed."""
         await self._changed.wait()
 
+    def suspects(self) -> frozenset[HostId]:
+        """Suspect no one."""
+        return frozenset()
+
+    async def confirm(self) -> None:
+        """Know all views already."""
+
     async def propose_view(self, view: View) -> bool:
         """Take a view if it is the one after the newest."""
         newest = self._views.get(view.data_centre)
