--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -13,6 +13,7 @@
 from currantwell.audit import AuditQuery
 from currantwell.codes import ResultCode
 from currantwell.operator_client import OperatorClient
+from currantwell.views import View
 from tests.builders import KEY_TEXT, free_addresses
 from tests.processes import command, running, wait_until
 
