Stop stragglers of idempotent work, and explain refused jobs

Change: the dispatcher sends a stop for each pick; the attempt's end is the proof that it is over, and the task is started anew. explain asks the scheduler first.

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -272,9 +272,10 @@
 
     async def explain(self, job: JobId) -> list[str] | Refusal:
         """Say why the tasks of a job stand where they stand."""
-        if job not in self.table.jobs:
+        lines = self._scheduler.explain(job)
+        if not lines and job not in self.table.jobs:
             return self._no_job(job)
-        return self._scheduler.explain(job)
+        return lines
 
     async def endpoints(self) -> list[Announcement] | Refusal:
         """Return what all known endpoints last said of themselves."""
@@ -610,9 +611,18 @@
             self._forget_old()
             for job in self._scheduler.expired(now):
                 await self._cancel(job, ResultCode.DEADLINE_PASSED)
+            self._stop_stragglers(now)
             if self._scheduler.waiting_tasks:
                 self._wake.set()
 
+    def _stop_stragglers(self, now: float) -> None:
+        """Stop attempts that are better started anew, once they are over."""
+        for ref in self._scheduler.stragglers(now):
+            task = self.table.task(ref)
+            known = self._known.get(task.endpoint) if task and task.endpoint else None
+            if known is not None:
+                known.link.send((), (ref,))
+
     async def _end_lost(self, now: float) -> None:
         over = [lost for lost, over_s in self._lost.items() if over_s <= now]
         for endpoint, incarnation in over:
