--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -10,7 +10,6 @@
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager, suppress
 
-import msgspec
 import trio
 
 from . import events
@@ -18,7 +17,7 @@
 from .clock import CalendarClock, now_s
 from .codes import ResultCode
 from .drains import DrainSource, NoDrains
-from .endpoint_link import Connect, EndpointLink, Link
+from .endpoint_link import Connect, EndpointLink
 from .endpoint_protocol import (
     Announcement,
     AnnouncementReply,
@@ -31,6 +30,7 @@
     StartBatch,
     StartReply,
 )
+from .endpoint_roster import EndpointRoster, RosterLimits
 from .errors import Deposed
 from .ids import DataCentre, EndpointId, Epoch, Incarnation, JobId, job_id
 from .job_log import JobLog
@@ -56,8 +56,6 @@
 TICK_S = 0.1
 PAUSE_POLL_S = 0.02
 FORGET_INTERVAL_S = 10.0
-CLOCK_DRIFT = 0.01
-LEASE_REFUSED_S = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,15 +77,6 @@
     answer_kept_s: float = 86_400.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Known:
-    """An endpoint that announced itself."""
-
-    announcement: Announcement
-    link: Link
-    heard_s: float
-
-
 @dataclasses.dataclass(slots=True)
 class _Entry:
     """Records in the outbox and who waits for them."""
@@ -145,18 +134,22 @@
         self._scheduler = scheduler
         self._calendar = calendar
         self._limits = limits or DispatcherLimits()
-        self._connect = connect
         self._metrics = metrics or Metrics()
-        self._drains = drains or NoDrains()
-        self._known: dict[EndpointId, _Known] = {}
+        self._roster = EndpointRoster(
+            epoch,
+            RosterLimits(self._limits.endpoint_lease_s, self._limits.suspect_after_s),
+            scheduler,
+            drains or NoDrains(),
+            connect,
+            self,
+            self._lease_s,
+        )
         self._outbox: list[_Entry] = []
         self._placed: list[PlacedTask] = []
         self._wake = trio.Event()
         self._accepted: dict[JobId, trio.Event] = {}
         self._answered: dict[JobId, trio.Event] = {}
         self._any_answered = trio.Event()
-        self._lost: dict[tuple[EndpointId, Incarnation], float] = {}
-        self._over: set[tuple[EndpointId, Incarnation]] = set()
         self._nursery: trio.Nursery | None = None
         self._shutting_down = False
         self._paused = False
@@ -279,11 +272,11 @@
 
     async def endpoints(self) -> list[Announcement] | Refusal:
         """Return what all known endpoints last said of themselves."""
-        return [known.announcement for known in self._known.values()]
+        return [known.announcement for known in self._roster]
 
     def load(self) -> HostLoad:
         """Return what there is to do now."""
-        said = [known.announcement for known in self._known.values()]
+        said = [known.announcement for known in self._roster]
         states = [
             task.state
             for job in self.table.jobs.values()
@@ -301,37 +294,16 @@
 
     async def announce(self, announcement: Announcement) -> AnnouncementReply | Refusal:
         """Take in an endpoint's announcement and grant it a lease."""
-        process = (announcement.endpoint, announcement.incarnation)
-        if process in self._over:
-            return AnnouncementReply(LEASE_REFUSED_S, self.epoch)
-        lease_s = self._lease_s()
-        if lease_s is None:
-            return Refusal(ResultCode.NOT_RUN_NO_PRIMARY, "a newer view may exist")
-        known = self._known.get(announcement.endpoint)
-        if known is not None and not _same_process(known.announcement, announcement):
-            self._lose(known)
-            known = None
-        if known is None:
-            known = self._meet(announcement)
-        known.heard_s = now_s()
-        self._take_in(known, announcement)
+        assert self._nursery is not None
+        told = self._roster.announce(announcement, self._nursery)
         self._wake.set()
-        return AnnouncementReply(lease_s, self.epoch)
+        return told
 
     def _lease_s(self) -> float | None:
         """Return a lease that ends before a successor counts it over, if any."""
         lease_s = self._limits.endpoint_lease_s - self._log.confirmed_age_s()
         return None if lease_s <= 0 or self._stopped else lease_s
 
-    def _take_in(self, known: _Known, said: Announcement) -> None:
-        """Take in what an endpoint says of itself, and what operators wish."""
-        if said.endpoint in self._drains.drained():
-            said = msgspec.structs.replace(said, draining=True)
-        if known.announcement.draining and not said.draining:
-            self._wake.set()
-        known.announcement = said
-        self._scheduler.endpoint_announced(said, now_s())
-
     # What links tell.
 
     async def batch_answered(
@@ -371,19 +343,8 @@
 
     def beat_arrived(self, endpoint: EndpointId, beat: Beat) -> LeaseGrant | None:
         """Take in a sign of life and return the lease granted, if any."""
-        known = self._known.get(endpoint)
-        if known is None or known.announcement.incarnation != beat.incarnation:
-            return LeaseGrant(beat.beat, LEASE_REFUSED_S)
-        known.heard_s = now_s()
-        said = msgspec.structs.replace(
-            known.announcement,
-            running=beat.running,
-            draining=beat.draining,
-            used_processors=beat.used_processors,
-        )
-        self._take_in(known, said)
-        lease_s = self._lease_s()
-        return None if lease_s is None else LeaseGrant(beat.beat, lease_s)
+        self._wake.set()
+        return self._roster.beat(endpoint, beat)
 
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
         """Note whether an endpoint answers."""
@@ -475,8 +436,9 @@
                 ref = AttemptRef(job.id, index, task.attempt)
                 stops.setdefault(task.endpoint, []).append(ref)
         for endpoint, refs in stops.items():
-            if endpoint in self._known:
-                self._known[endpoint].link.send((), refs)
+            known = self._roster.get(endpoint)
+            if known is not None:
+                known.link.send((), refs)
         self._close_if_over(job)
 
     def _close_if_over(self, job: Job) -> None:
@@ -555,59 +517,14 @@
             and task.incarnation == incarnation
         ]
 
-    # Endpoints.
-
-    def _meet(self, announcement: Announcement) -> _Known:
-        self._lost.pop((announcement.endpoint, announcement.incarnation), None)
-        link = self._connect(
-            announcement.endpoint,
-            announcement.incarnation,
-            announcement.url,
-            self.epoch,
-            self,
-        )
-        known = _Known(announcement, link, now_s())
-        self._known[announcement.endpoint] = known
-        assert self._nursery is not None
-        self._nursery.start_soon(link.run)
-        events.ENDPOINT_MET.log(
-            endpoint=announcement.endpoint, incarnation=announcement.incarnation
-        )
-        return known
-
-    def _lose(self, known: _Known) -> None:
-        """Stop using an incarnation; its attempts end when its lease has run out."""
-        said = known.announcement
-        known.link.close()
-        del self._known[said.endpoint]
-        self._scheduler.endpoint_removed(said.endpoint)
-        lease_s = self._limits.endpoint_lease_s * (1 + CLOCK_DRIFT)
-        over_s = known.heard_s + lease_s
-        self._lost[said.endpoint, said.incarnation] = over_s
-        self._over.add((said.endpoint, said.incarnation))
-        events.ENDPOINT_LOST.log(
-            endpoint=said.endpoint, incarnation=said.incarnation, over_s=over_s
-        )
-
     # Loops.
 
     async def _tick_loop(self) -> None:
         while True:
             await trio.sleep(TICK_S)
             now = now_s()
-            lease_s = self._limits.endpoint_lease_s * (1 + CLOCK_DRIFT)
-            for known in list(self._known.values()):
-                said = known.announcement
-                if not said.draining and said.endpoint in self._drains.drained():
-                    self._take_in(known, said)
-                silent_s = now - known.heard_s
-                if silent_s > self._limits.suspect_after_s:
-                    self._scheduler.endpoint_reachable(
-                        known.announcement.endpoint, False
-                    )
-                if silent_s > lease_s:
-                    self._lose(known)
-            await self._end_lost(now)
+            for endpoint, incarnation in self._roster.tick():
+                await self._end_lost(endpoint, incarnation)
             self._forget_old()
             for job in self._scheduler.expired(now):
                 await self._cancel(job, ResultCode.DEADLINE_PASSED)
@@ -619,20 +536,17 @@
         """Stop attempts that are better started anew, once they are over."""
         for ref in self._scheduler.stragglers(now):
             task = self.table.task(ref)
-            known = self._known.get(task.endpoint) if task and task.endpoint else None
+            known = self._roster.get(task.endpoint) if task else None
             if known is not None:
                 known.link.send((), (ref,))
 
-    async def _end_lost(self, now: float) -> None:
-        over = [lost for lost, over_s in self._lost.items() if over_s <= now]
-        for endpoint, incarnation in over:
-            del self._lost[endpoint, incarnation]
-            self._over.add((endpoint, incarnation))
-            ended = [
-                AttemptEnded(ref, ResultCode.UNKNOWN_ATTEMPT_LOST)
-                for ref, _ in self._started_at(endpoint, incarnation)
-            ]
-            await self._end(ended, {})
+    async def _end_lost(self, endpoint: EndpointId, incarnation: Incarnation) -> None:
+        """End the attempts of an incarnation whose lease has run out."""
+        ended = [
+            AttemptEnded(ref, ResultCode.UNKNOWN_ATTEMPT_LOST)
+            for ref, _ in self._started_at(endpoint, incarnation)
+        ]
+        await self._end(ended, {})
 
     async def _pump_loop(self) -> None:
         while True:
@@ -667,14 +581,15 @@
         for endpoint, items in starts.items():
             self.starts_sent += len(items)
             self._unanswered.update(start.ref for start in items)
-            self._known[endpoint].link.send(items)
+            known = self._roster.get(endpoint)
+            assert known is not None
+            known.link.send(items)
 
     def _overtaken(self, item: PlacedTask) -> bool:
         task = self.table.task(item.ref)
         if task is None or task.state is not TaskState.STARTED:
             return True
-        known = self._known.get(item.endpoint)
-        if known is None or known.announcement.incarnation != item.incarnation:
+        if not self._roster.is_known(item.endpoint, item.incarnation):
             return True
         job = self.table.jobs[item.ref.job]
         return self._paused or job.cancel_code is not None
@@ -756,12 +671,7 @@
             )
             self._scheduler.hold(ref, task.endpoint, held)
             if task.incarnation is not None:
-                lease_s = self._limits.endpoint_lease_s * (1 + CLOCK_DRIFT)
-                self._lost[task.endpoint, task.incarnation] = now + lease_s
-
-
-def _same_process(old: Announcement, new: Announcement) -> bool:
-    return old.incarnation == new.incarnation and old.url == new.url
+                self._roster.expect(task.endpoint, task.incarnation)
 
 
 def _set_event() -> trio.Event:
