--- a/currantwell/cli/load.py
+++ b/currantwell/cli/load.py
@@ -10,7 +10,15 @@
 
 
 @click.command()
-@click.option("--url", "urls", multiple=True, required=True, help="Entry hosts.")
+@click.option(
+    "--url",
+    "urls",
+    multiple=True,
+    required=True,
+    envvar="CURRANTWELL_URL",
+    help="Entry hosts, used in turn.",
+)
+@click.option("--token", envvar="CURRANTWELL_TOKEN", help="Token of the team.")
 @click.option("--duration-s", default=5.0, help="For how long to submit.")
 @click.option("--callers", default=8, help="Jobs under way at the same time.")
 @click.option("--tasks", default=8, help="Tasks in a job.")
@@ -18,6 +26,7 @@
 @click.option("--team", default="load", help="The team that submits.")
 def load(
     urls: tuple[str, ...],
+    token: str | None,
     duration_s: float,
     callers: int,
     tasks: int,
@@ -25,5 +34,7 @@
     team: str,
 ) -> None:
     """Submit jobs for a while and print how they fared."""
-    settings = LoadSettings(urls, duration_s, callers, tasks, sleep_s, Team(team))
+    settings = LoadSettings(
+        urls, duration_s, callers, tasks, sleep_s, Team(team), token
+    )
     click.echo(trio.run(run_load, settings).text())
