Let a draining endpoint take starts in its scenario, and count messages of a cancel

Cause: the emulator refused starts while it drained, so that the scenario of a leaving endpoint could not fail by any fault of the host; that a cancel is one message to an endpoint had no test.

Change: the fault start_while_draining; a test of the dispatcher with 850 tasks.

Run: with the check of draining taken out the scenario failed at its line 10, with stops sent one by one the new test failed; on the tree both passed.

--- a/currantwell/emulator.py
+++ b/currantwell/emulator.py
@@ -84,6 +84,8 @@
         Answer nothing and announce nothing.
     draining : bool
         Ask for no new starts.
+    start_while_draining : bool
+        Take them all the same.
     """
 
     speed: float = 1.0
@@ -95,6 +97,7 @@
     duplicate_results: bool = False
     silent: bool = False
     draining: bool = False
+    start_while_draining: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -308,7 +311,8 @@
             return True
         held = self._running + len(self._queue)
         full = held >= self._settings.slots + self._settings.queue
-        if full or self.faults.refuse_all or self.faults.draining:
+        unwanted = self.faults.draining and not self.faults.start_while_draining
+        if full or self.faults.refuse_all or unwanted:
             return False
         attempt = _Attempt(start, now_s())
         self._attempts[start.ref] = attempt
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import math
 
+import msgspec
 import pytest
 import trio
 
@@ -37,9 +38,11 @@
 
     def __init__(self, endpoint, incarnation, url, epoch, owner):
         self.starts, self.stops, self.owner = [], [], owner
+        self.messages = 0
         self.endpoint, self.incarnation, self.epoch = endpoint, incarnation, epoch
 
     def send(self, starts, stops=()):
+        self.messages += 1
         self.starts.extend(starts)
         self.stops.extend(stops)
 
@@ -133,6 +136,20 @@
     assert bench.link.starts == []
 
 
+async def test_cancelling_a_job_is_one_message_to_an_endpoint(nursery, clock):
+    bench, job = Bench(), a_submission(tasks=850)
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(msgspec.structs.replace(E1, slots=100))
+    await bench.dispatcher.submit(job)
+    await settle()
+    begun, sent = len(bench.link.starts), bench.link.messages
+    assert begun > 1
+    nursery.start_soon(bench.dispatcher.cancel, a_job_id(job))
+    await settle()
+    assert len(bench.link.stops) == begun
+    assert bench.link.messages == sent + 1
+
+
 async def test_a_drained_endpoint_gets_no_start_until_it_is_resumed(nursery, clock):
     bench, job = Bench(), a_submission()
     bench.drained_endpoints.add(E1.endpoint)
