Give up a silent candidate for the copy early, and learn from stopped stragglers

Ruled out: the idle tick of the dispatcher, which was taken back all the same, since the budget of restarts is earned by tick.

Change: a candidate that has not answered within 0.5 s is passed over; an attempt that is stopped after it ran longer than expected counts for the speed of its endpoint.

--- a/currantwell/backup_care.py
+++ b/currantwell/backup_care.py
@@ -34,6 +34,7 @@
 LEFT_FOR_S = 5.0
 REPAIR_PAUSE_S = 2.0
 AWAY_AFTER_S = 0.2
+FIRST_ANSWER_S = 0.5
 COPIES = 2
 
 
@@ -238,8 +239,12 @@
         acting.log.follow(host)
         while not acting.log.up_to_date(host):
             await trio.sleep(TICK_S / 4)
-            silent_s = min(acting.log.silent_s(host), now_s() - begun_s)
-            if silent_s > self._limits.drop_after_s or self.draining:
+            tried_s = now_s() - begun_s
+            silent_s = min(acting.log.silent_s(host), tried_s)
+            patience_s = self._limits.drop_after_s
+            if silent_s == tried_s:
+                patience_s = FIRST_ANSWER_S
+            if silent_s > patience_s or self.draining:
                 acting.log.unfollow(host)
                 return
         number = Epoch(acting.view.number + 1)
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -54,7 +54,6 @@
 __all__ = ["Dispatcher", "DispatcherLimits"]
 
 TICK_S = 0.1
-IDLE_TICK_S = 0.3
 PAUSE_POLL_S = 0.02
 FORGET_INTERVAL_S = 10.0
 
@@ -522,8 +521,7 @@
 
     async def _tick_loop(self) -> None:
         while True:
-            busy = self._scheduler.waiting_tasks > 0
-            await trio.sleep(TICK_S if busy else IDLE_TICK_S)
+            await trio.sleep(TICK_S)
             now = now_s()
             for endpoint, incarnation in self._roster.tick():
                 await self._end_lost(endpoint, incarnation)
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -190,7 +190,8 @@
         load = self._endpoints.get(endpoint)
         if load is not None:
             load.release(ref)
-        if code is ResultCode.COMPLETE:
+        slow = code is ResultCode.TASK_STOPPED and run_s > task.estimate_s
+        if code is ResultCode.COMPLETE or slow:
             self._policies.estimates.learn(endpoint, task, run_s)
             if load is not None:
                 load.speed = self._policies.estimates.speed(endpoint)
