--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -47,7 +47,7 @@
     JobForgotten,
     Record,
 )
-from .scheduler import Scheduler
+from .scheduler import Room, Scheduler
 from .submission import RestartRule, Submission, digest_of
 from .waiting import JobRequest, PlacedTask, WaitingTask
 
@@ -70,11 +70,14 @@
         After so long a silence an endpoint gets no new start.
     answer_kept_s : float
         How long after its deadline the answer of a job is kept.
+    clock_drift : float
+        By what share the clock of an endpoint may be slow.
     """
 
     endpoint_lease_s: float = 8.0
     suspect_after_s: float = 5.0
     answer_kept_s: float = 86_400.0
+    clock_drift: float = 0.01
 
 
 @dataclasses.dataclass(slots=True)
@@ -137,7 +140,11 @@
         self._metrics = metrics or Metrics()
         self._roster = EndpointRoster(
             epoch,
-            RosterLimits(self._limits.endpoint_lease_s, self._limits.suspect_after_s),
+            RosterLimits(
+                self._limits.endpoint_lease_s,
+                self._limits.suspect_after_s,
+                self._limits.clock_drift,
+            ),
             scheduler,
             drains or NoDrains(),
             connect,
@@ -292,6 +299,19 @@
             states.count(TaskState.WAITING),
         )
 
+    def room(self) -> Room:
+        """Return how much more could start."""
+        return self._scheduler.room()
+
+    def knows(self, endpoint: EndpointId, incarnation: Incarnation) -> bool:
+        """Tell whether this incarnation of an endpoint is in use."""
+        return self._roster.is_known(endpoint, incarnation)
+
+    def endpoint(self, endpoint: EndpointId) -> Announcement | None:
+        """Return what an endpoint last said of itself, None if it is not in use."""
+        known = self._roster.get(endpoint)
+        return None if known is None else known.announcement
+
     async def announce(self, announcement: Announcement) -> AnnouncementReply | Refusal:
         """Take in an endpoint's announcement and grant it a lease."""
         assert self._nursery is not None
--- a/currantwell/endpoint_load.py
+++ b/currantwell/endpoint_load.py
@@ -28,6 +28,7 @@
         and spec.accelerators <= said.accelerators
         and spec.data_centre in (None, said.data_centre)
         and spec.endpoint in (None, said.endpoint)
+        and spec.pool in (None, said.pool)
     )
 
 
@@ -86,6 +87,28 @@
             most = min(most, self.limit)
         return most - len(self.running)
 
+    def usable(self) -> bool:
+        """Tell whether it may be given attempts when it has room."""
+        return self.reachable and not self.announcement.draining and self.limit != 0
+
+    def free_for(self, spec: TaskSpec) -> int:
+        """Return how many more tasks like this one it has room for."""
+        said = self.announcement
+        left = self._most(spec, said.processors - self._processors)
+        return max(0, min(left, self.free()))
+
+    def slots_for(self, spec: TaskSpec) -> int:
+        """Return how many tasks like this one it holds when empty."""
+        said = self.announcement
+        return min(self._most(spec, said.processors), said.slots)
+
+    def _most(self, spec: TaskSpec, processors: float) -> int:
+        if not could_run(self.announcement, spec):
+            return 0
+        if spec.processors <= 0:
+            return self.announcement.slots
+        return int(processors / spec.processors)
+
     def fits(self, spec: TaskSpec) -> bool:
         """Tell whether its free resources suffice for a task."""
         said = self.announcement
--- a/currantwell/endpoint_protocol.py
+++ b/currantwell/endpoint_protocol.py
@@ -84,6 +84,8 @@
         Whether it wants no new start.
     used_processors : float
         Processor cores in use, as last measured; lags.
+    pool : str or None
+        The pool that it belongs to, if endpoints are divided into pools.
     """
 
     endpoint: EndpointId
@@ -99,6 +101,7 @@
     running: int = 0
     draining: bool = False
     used_processors: float = 0.0
+    pool: str | None = None
 
 
 def check_announcement(announcement: Announcement) -> Announcement:
--- a/currantwell/endpoint_roster.py
+++ b/currantwell/endpoint_roster.py
@@ -23,7 +23,6 @@
 
 __all__ = ["EndpointRoster", "KnownEndpoint", "RosterLimits"]
 
-CLOCK_DRIFT = 0.01
 LEASE_REFUSED_S = 0.0
 
 
@@ -37,15 +36,18 @@
         How long an endpoint may run on without a reply.
     suspect_after_s : float
         After so long a silence an endpoint gets no new start.
+    clock_drift : float
+        By what share the clock of an endpoint may be slow.
     """
 
     lease_s: float
     suspect_after_s: float
+    clock_drift: float = 0.01
 
     @property
     def over_after_s(self) -> float:
         """How long after a sign of life the lease has surely run out."""
-        return self.lease_s * (1 + CLOCK_DRIFT)
+        return self.lease_s * (1 + self.clock_drift)
 
 
 @dataclasses.dataclass(slots=True)
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -68,6 +68,9 @@
 HOST_STOPPED = _event(
     102, "host_stopped", Level.INFO, "The host has stopped; drained says how."
 )
+SETTINGS_RELOADED = _event(
+    103, "settings_reloaded", Level.INFO, "The settings file was said to have changed."
+)
 ENDPOINT_MET = _event(200, "endpoint_met", Level.INFO, "An endpoint announced itself.")
 ENDPOINT_LOST = _event(
     201,
@@ -150,3 +153,85 @@
     Level.INFO,
     "A crash had cut a write short that no one was told of; its rest is removed.",
 )
+CONFIGURATION_PUT = _event(
+    610,
+    "configuration_put",
+    Level.INFO,
+    "A configuration was agreed on; result says whether it took effect.",
+)
+CONFIGURATION_LEARNT = _event(
+    611, "configuration_learnt", Level.INFO, "This host follows a newer configuration."
+)
+CONFIGURATION_REFUSED = _event(
+    612, "configuration_refused", Level.WARNING, "A configuration is invalid."
+)
+OWNER_SET = _event(
+    613, "owner_set", Level.WARNING, "Another process dispatches to a data centre."
+)
+ENDPOINT_HEARD = _event(
+    210, "endpoint_heard", Level.INFO, "An endpoint is new or said something new."
+)
+ENDPOINT_LEFT = _event(211, "endpoint_left", Level.INFO, "An endpoint says it ends.")
+ENDPOINT_SILENT = _event(
+    212, "endpoint_silent", Level.WARNING, "No heartbeat of an endpoint came for long."
+)
+HEARTBEAT_REFUSED = _event(
+    213, "heartbeat_refused", Level.WARNING, "A heartbeat can't be read."
+)
+ORDER_UNANSWERED = _event(
+    220,
+    "order_unanswered",
+    Level.WARNING,
+    "An order to an endpoint got no answer; it may be carried out yet.",
+)
+START_REFUSED = _event(
+    221, "start_refused", Level.WARNING, "An endpoint refused a start."
+)
+ATTEMPT_ENDED = _event(
+    222, "attempt_ended", Level.WARNING, "An attempt ended other than done."
+)
+STRAY_FOUND = _event(
+    223,
+    "stray_found",
+    Level.WARNING,
+    "An endpoint runs what this dispatcher did not start; it is stopped.",
+)
+HOST_HEARD = _event(110, "host_heard", Level.INFO, "A host opened a channel.")
+HOST_SILENT = _event(
+    111, "host_silent", Level.WARNING, "The last channel of a host has closed."
+)
+CONTROL_LOST = _event(
+    112, "control_lost", Level.WARNING, "The channel to a control host has closed."
+)
+CONTROL_FOUND = _event(
+    113, "control_found", Level.INFO, "A channel to a control host is open."
+)
+DISPATCHER_STARTED = _event(
+    710, "dispatcher_started", Level.INFO, "This host dispatches to a data centre."
+)
+DISPATCHER_STOPPED = _event(
+    711,
+    "dispatcher_stopped",
+    Level.INFO,
+    "This host no longer dispatches to a data centre; ground says why.",
+)
+JOB_ROUTED = _event(800, "job_routed", Level.INFO, "A job went to a dispatcher.")
+JOB_ANSWERED = _event(801, "job_answered", Level.INFO, "A job's caller got its answer.")
+JOB_REFUSED = _event(
+    802, "job_refused", Level.INFO, "A job was refused; nothing of it was started."
+)
+JOB_INCOMPLETE = _event(
+    803,
+    "job_incomplete",
+    Level.WARNING,
+    "A job can't be completed in time although some of it was started.",
+)
+JOB_RESENT = _event(
+    804, "job_resent", Level.WARNING, "A job goes to another dispatcher."
+)
+CALLER_GONE = _event(
+    805, "caller_gone", Level.INFO, "The caller of a job left; the job is stopped."
+)
+REQUEST_MALFORMED = _event(
+    806, "request_malformed", Level.WARNING, "A request can't be read."
+)
--- /dev/null
+++ b/currantwell/fleet/channel.py
@@ -0,0 +1,144 @@
+"""Long-lived connections between hosts that carry messages both ways.
+
+A frame is a length and a MessagePack message. What is sent while a write is under way
+goes out with the next one. A channel that carries nothing for a while is closed, since
+an open connection may have gone silent for good while new ones work. Plain TCP in place
+of `pynng`, which hides the end of a connection: a host that was killed has to be noticed
+at once.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import suppress
+
+import msgspec
+import trio
+
+from ..clock import now_s
+from .messages import Message, Ping
+
+__all__ = ["Channel", "open_channel"]
+
+# A fifth of the silence allowed, so that a few late ones do no harm.
+PING_S = 0.15
+# Longer than any pause of a loop seen on the bench, shorter than a lease of endpoints.
+SILENCE_S = 0.75
+# One connection set-up lost and sent again takes a second.
+CONNECT_TIMEOUT_S = 1.5
+# A configuration of 256 KiB and a list of 620 endpoints fit many times.
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+# A peer that reads so little is as good as gone.
+MAX_UNSENT_BYTES = 8 * 1024 * 1024
+RECEIVE_BYTES = 64 * 1024
+LENGTH_BYTES = 4
+
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+_encoder = msgspec.msgpack.Encoder()
+_PING = _encoder.encode(Ping())
+
+
+class Channel:
+    """One end of a connection.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+        The connection.
+    """
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+        self._unsent = bytearray()
+        self._changed = trio.Event()
+        self._scope = trio.CancelScope()
+        self.closed = False
+
+    def send(self, message: Message) -> None:
+        """Queue a message; it is lost if the channel closes before it left."""
+        if not self.closed:
+            self._queue(_encoder.encode(message))
+
+    def close(self) -> None:
+        """End the channel."""
+        self.closed = True
+        self._scope.cancel()
+
+    async def messages(self) -> AsyncIterator[Message]:
+        """Yield messages until the channel closes; `run` must run meanwhile."""
+        buffer = bytearray()
+        try:
+            while not self.closed:
+                data = b""
+                with trio.move_on_after(SILENCE_S):
+                    data = await self._stream.receive_some(RECEIVE_BYTES)
+                if not data:
+                    return
+                buffer += data
+                for frame in _take_frames(buffer):
+                    message = _decoder.decode(frame)
+                    if not isinstance(message, Ping):
+                        yield message
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        except (msgspec.MsgspecError, ValueError):
+            return
+        finally:
+            self.close()
+
+    async def run(self) -> None:
+        """Send what is queued until the channel closes."""
+        try:
+            with self._scope:
+                await self._send_loop()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self.closed = True
+            with trio.CancelScope(shield=True), suppress(OSError):
+                await trio.aclose_forcefully(self._stream)
+
+    async def _send_loop(self) -> None:
+        ping_s = now_s() + PING_S
+        while True:
+            with trio.move_on_at(ping_s):
+                await self._changed.wait()
+            self._changed = trio.Event()
+            if now_s() >= ping_s:
+                self._queue(_PING)
+                ping_s = now_s() + PING_S
+            data, self._unsent = self._unsent, bytearray()
+            await self._stream.send_all(data)
+
+    def _queue(self, body: bytes) -> None:
+        self._unsent += len(body).to_bytes(LENGTH_BYTES, "big")
+        self._unsent += body
+        self._changed.set()
+        if len(self._unsent) > MAX_UNSENT_BYTES:
+            self.close()
+
+
+def _take_frames(buffer: bytearray) -> list[bytes]:
+    """Return the whole frames at the beginning of a buffer and take them out."""
+    frames = []
+    at = 0
+    while len(buffer) - at >= LENGTH_BYTES:
+        length = int.from_bytes(buffer[at : at + LENGTH_BYTES], "big")
+        if length > MAX_FRAME_BYTES:
+            raise ValueError(f"a frame of {length} bytes")
+        end = at + LENGTH_BYTES + length
+        if len(buffer) < end:
+            break
+        frames.append(bytes(buffer[at + LENGTH_BYTES : end]))
+        at = end
+    del buffer[:at]
+    return frames
+
+
+async def open_channel(address: str) -> Channel | None:
+    """Connect to ``IP:port``; return None if that fails."""
+    host, _, port = address.rpartition(":")
+    try:
+        with trio.fail_after(CONNECT_TIMEOUT_S):
+            stream = await trio.open_tcp_stream(host, int(port))
+    except (OSError, trio.TooSlowError):
+        return None
+    return Channel(stream)
--- /dev/null
+++ b/currantwell/fleet/control_service.py
@@ -0,0 +1,303 @@
+"""The control host's service: hears hosts and endpoints, and tells entry hosts.
+
+Each entry host keeps a channel to each control host and is told at once what changes:
+the configuration, who dispatches, hosts and endpoints. The leader of the agreement also
+has the next dispatchers agreed.
+"""
+
+from collections.abc import Sequence
+from functools import partial
+
+import trio
+
+from .. import events
+from ..agreement import Agreement
+from ..clock import now_s
+from ..errors import AgreementLost
+from ..ids import DataCentre, EndpointId, HostId
+from ..kernel import ServiceName
+from .channel import Channel, open_channel
+from .endpoint_registry import EndpointRegistry
+from .fleet_state import FleetState, PutConfiguration, SetOwner, encode_command
+from .messages import (
+    ConfigurationTold,
+    ControlHostsTold,
+    EndpointReport,
+    EndpointsGone,
+    EndpointsHeard,
+    EndpointsTold,
+    HostHello,
+    HostsTold,
+    Message,
+    OwnershipsTold,
+)
+from .ownership import OwnershipRule, Sighting
+from .routes import Configuration
+
+__all__ = ["ControlService"]
+
+# Twenty looks within the time after which a silent host counts as lost.
+LEAD_INTERVAL_S = 0.05
+# Operators move on to another host after a second.
+PUT_TIMEOUT_S = 0.9
+# A new owner is agreed in 30 ms on a disk of 9 ms a sync; a stalled one takes seconds.
+OWNER_TIMEOUT_S = 2.0
+FORGET_INTERVAL_S = 1.0
+# A host that was lost dials anew within this time.
+DIAL_PAUSE_S = 0.2
+
+
+class ControlService:
+    """The service that entry hosts and endpoints report to.
+
+    Parameters
+    ----------
+    hello : HostHello
+        This host.
+    seeds : sequence of str
+        Addresses at which control hosts accept channels, as first known.
+    state : FleetState
+        The agreed state.
+    agreement : Agreement
+        What changes it.
+    rule : OwnershipRule
+        Decides who dispatches.
+    """
+
+    name = ServiceName("fleet-control")
+
+    def __init__(
+        self,
+        hello: HostHello,
+        seeds: Sequence[str],
+        state: FleetState,
+        agreement: Agreement,
+        rule: OwnershipRule,
+    ) -> None:
+        self._hello = hello
+        self._state = state
+        self._agreement = agreement
+        self._rule = rule
+        self._registry = EndpointRegistry()
+        self._channels: dict[Channel, HostHello | None] = {}
+        self._sightings: dict[HostId, Sighting] = {}
+        self._controls = {address for address in seeds if address != hello.address}
+        self._dialled: set[str] = set()
+        self._heard: set[EndpointId] = set()
+        self._state_changed = trio.Event()
+        state.changed = self._note_change
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Serve channels until cancelled."""
+        host, _, port = self._hello.address.rpartition(":")
+        async with trio.open_nursery() as nursery:
+            serve = partial(trio.serve_tcp, self._accept, int(port), host=host)
+            await nursery.start(serve)
+            nursery.start_soon(self._lead_loop, nursery)
+            nursery.start_soon(self._forget_loop)
+            nursery.start_soon(self._tell_loop)
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Have nothing to finish."""
+
+    # What operators ask.
+
+    async def put_configuration(self, configuration: Configuration) -> None:
+        """Have a configuration agreed; one that is not higher changes nothing.
+
+        Raises
+        ------
+        AgreementLost
+            If no majority confirmed it in time; it may still take effect.
+        """
+        command = encode_command(PutConfiguration(configuration))
+        result = await self._agreement.propose(command, PUT_TIMEOUT_S)
+        events.CONFIGURATION_PUT.log(
+            version=configuration.version,
+            routes=len(configuration.routes),
+            result=result.decode(),
+            in_force=self._state.configuration.version,
+        )
+
+    async def configuration(self) -> Configuration:
+        """Return the newest configuration that was accepted anywhere.
+
+        Raises
+        ------
+        AgreementLost
+            If no majority confirmed in time that it is the newest.
+        """
+        await self._agreement.confirm(PUT_TIMEOUT_S)
+        return self._state.configuration
+
+    # What endpoints say.
+
+    def heartbeat(self, report: EndpointReport) -> None:
+        """Take in what an endpoint says of itself, and pass on what is new."""
+        said = report.announcement
+        self._heard.add(said.endpoint)
+        if self._registry.take(report, now_s()):
+            events.ENDPOINT_HEARD.log(
+                endpoint=said.endpoint,
+                born_unix_ms=report.born_unix_ms,
+                sequence=report.sequence,
+                draining=said.draining,
+                url=said.url,
+            )
+            self._tell(EndpointsTold((report,)))
+
+    def leave(self, endpoint: EndpointId) -> None:
+        """Take in that an endpoint ends."""
+        if self._registry.leave(endpoint):
+            events.ENDPOINT_LEFT.log(endpoint=endpoint)
+        self._tell(EndpointsGone((endpoint,)))
+
+    # Channels.
+
+    async def _accept(self, stream: trio.SocketStream) -> None:
+        await self._talk(Channel(stream))
+
+    async def _talk(self, channel: Channel) -> None:
+        """Tell a host everything, then what changes, and hear it."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(channel.run)
+            self._channels[channel] = None
+            self._tell_all(channel)
+            try:
+                async for message in channel.messages():
+                    self._hear(channel, message)
+            finally:
+                hello = self._channels.pop(channel)
+                if hello is not None:
+                    self._host_silent(hello)
+
+    async def _dial_loop(self, address: str) -> None:
+        """Keep a channel to another control host."""
+        while True:
+            channel = await open_channel(address)
+            if channel is not None:
+                channel.send(self._hello)
+                await self._talk(channel)
+            await trio.sleep(DIAL_PAUSE_S)
+
+    def _hear(self, channel: Channel, message: Message) -> None:
+        if not isinstance(message, HostHello):
+            return
+        if self._channels[channel] is None:
+            events.HOST_HEARD.log(
+                host=message.host,
+                incarnation=message.incarnation,
+                data_centre=message.data_centre,
+            )
+        self._channels[channel] = message
+        seen = self._sightings.get(message.host)
+        now = now_s()
+        if seen is None or seen.hello.incarnation != message.incarnation:
+            seen = self._sightings[message.host] = Sighting(message, now, now)
+        seen.hello, seen.last_s = message, now
+        if not message.dispatches and message.address not in self._controls:
+            self._controls.add(message.address)
+            self._tell(self._control_hosts())
+        self._tell(self._hosts())
+
+    def _host_silent(self, hello: HostHello) -> None:
+        still = any(
+            other is not None and other.incarnation == hello.incarnation
+            for other in self._channels.values()
+        )
+        if not still:
+            events.HOST_SILENT.log(host=hello.host, incarnation=hello.incarnation)
+            self._tell(self._hosts())
+
+    def _refresh_sightings(self) -> None:
+        """Count each host with a channel as heard, since silent ones are closed."""
+        now = now_s()
+        for hello in self._channels.values():
+            if hello is None:
+                continue
+            seen = self._sightings.get(hello.host)
+            if seen is not None and seen.hello.incarnation == hello.incarnation:
+                seen.last_s = now
+        own = self._hello
+        first = self._sightings.setdefault(own.host, Sighting(own, now, now))
+        first.last_s = now
+
+    # What entry hosts are told.
+
+    def _tell(self, message: Message) -> None:
+        for channel in self._channels:
+            channel.send(message)
+
+    def _tell_all(self, channel: Channel) -> None:
+        channel.send(self._control_hosts())
+        channel.send(ConfigurationTold(self._state.configuration))
+        channel.send(self._hosts())
+        channel.send(EndpointsTold(tuple(self._registry.reports)))
+        channel.send(OwnershipsTold(tuple(self._state.ownerships)))
+
+    def _hosts(self) -> HostsTold:
+        heard = {
+            hello.host: hello
+            for hello in self._channels.values()
+            if hello is not None and hello.dispatches
+        }
+        return HostsTold(tuple(heard.values()))
+
+    def _control_hosts(self) -> ControlHostsTold:
+        return ControlHostsTold((self._hello.address, *sorted(self._controls)))
+
+    def _note_change(self) -> None:
+        self._state_changed.set()
+
+    async def _tell_loop(self) -> None:
+        version = self._state.configuration.version
+        while True:
+            await self._state_changed.wait()
+            self._state_changed = trio.Event()
+            if self._state.configuration.version != version:
+                version = self._state.configuration.version
+                self._tell(ConfigurationTold(self._state.configuration))
+            self._tell(OwnershipsTold(tuple(self._state.ownerships)))
+
+    # Leading.
+
+    async def _lead_loop(self, nursery: trio.Nursery) -> None:
+        while True:
+            await trio.sleep(LEAD_INTERVAL_S)
+            for address in self._controls - self._dialled:
+                self._dialled.add(address)
+                nursery.start_soon(self._dial_loop, address)
+            self._refresh_sightings()
+            if self._agreement.leader != self._hello.host:
+                self._rule.reset()
+                continue
+            owners = {owned.data_centre: owned for owned in self._state.ownerships}
+            for ownership in self._rule.next(now_s(), owners, self._sightings):
+                await self._set_owner(ownership.data_centre, SetOwner(ownership))
+
+    async def _set_owner(self, data_centre: DataCentre, command: SetOwner) -> None:
+        owned = command.ownership
+        try:
+            result = await self._agreement.propose(
+                encode_command(command), OWNER_TIMEOUT_S
+            )
+        except AgreementLost as error:
+            events.AGREEMENT_LOST.log(what="owner", error=str(error))
+            return
+        events.OWNER_SET.log(
+            data_centre=data_centre,
+            epoch=owned.epoch,
+            host=owned.host,
+            incarnation=owned.incarnation,
+            result=result.decode(),
+        )
+
+    async def _forget_loop(self) -> None:
+        while True:
+            await trio.sleep(FORGET_INTERVAL_S)
+            if self._heard:
+                self._tell(EndpointsHeard(tuple(self._heard)))
+                self._heard.clear()
+            for endpoint in self._registry.forget_silent(now_s()):
+                events.ENDPOINT_SILENT.log(endpoint=endpoint)
--- /dev/null
+++ b/currantwell/fleet/entry_service.py
@@ -0,0 +1,100 @@
+"""What an entry host does for its callers: routes, readiness and jobs."""
+
+from collections.abc import Sequence
+
+from .. import events
+from ..clock import now_s
+from ..ids import Team
+from ..submission import TaskSpec
+from .dispatcher_links import DispatcherLinks
+from .fleet_view import FleetView
+from .job_router import (
+    JobDone,
+    JobNotRun,
+    JobOrder,
+    JobRouter,
+    Outcome,
+)
+from .routes import Route
+
+__all__ = ["EntryService"]
+
+# A refusal that comes later than a quarter of the time aimed at helps the caller less.
+START_BY_SHARE = 0.25
+
+
+class EntryService:
+    """The face of an entry host.
+
+    Parameters
+    ----------
+    view : FleetView
+        Knows the configuration.
+    links : DispatcherLinks
+        Reaches the dispatchers.
+    router : JobRouter
+        Runs jobs.
+    """
+
+    def __init__(
+        self, view: FleetView, links: DispatcherLinks, router: JobRouter
+    ) -> None:
+        self.draining = False
+        self.closing = False
+        self.in_flight = 0
+        self._view = view
+        self._links = links
+        self._router = router
+
+    @property
+    def configured(self) -> bool:
+        """Whether any configuration is known."""
+        return self._view.configuration.version > 0
+
+    @property
+    def ready(self) -> bool:
+        """Whether new callers are welcome."""
+        return self.configured and not self.draining and bool(self._links.room())
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Largest body of a request."""
+        return self._view.configuration.max_body_bytes
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route of a request."""
+        return self._view.route(host, path)
+
+    async def run(
+        self,
+        identifier: str,
+        route: Route,
+        tasks: Sequence[TaskSpec],
+        deadline_s: float,
+    ) -> Outcome:
+        """Run tasks that may start now to their end."""
+        if self.closing:
+            return JobNotRun("this host is about to stop", 1.0)
+        longest_s = max((task.run_time_s or 0.0) for task in tasks)
+        aim_s = route.target_s + route.stretch * longest_s
+        start_by_s = now_s() + START_BY_SHARE * aim_s
+        order = JobOrder(identifier, route.team, tasks, deadline_s, start_by_s)
+        self.in_flight += 1
+        try:
+            return await self._router.run(order)
+        finally:
+            self.in_flight -= 1
+
+    def note_outcome(
+        self, identifier: str, team: Team, outcome: Outcome, arrived_s: float
+    ) -> None:
+        """Log what a caller is told."""
+        after_s = round(now_s() - arrived_s, 3)
+        fields = {"job": identifier, "team": team, "after_s": after_s}
+        if isinstance(outcome, JobDone):
+            events.JOB_ANSWERED.log(**fields)
+        elif isinstance(outcome, JobNotRun):
+            events.JOB_REFUSED.log(**fields, detail=outcome.detail)
+        else:
+            kind = type(outcome).__name__
+            events.JOB_INCOMPLETE.log(**fields, outcome=kind, detail=outcome.detail)
--- /dev/null
+++ b/currantwell/fleet/fleet_state.py
@@ -0,0 +1,123 @@
+"""What control hosts agree on: the configuration and who dispatches where.
+
+Invariants: the configuration in force never goes to a lower version, and the content
+of a version never changes; the epoch of a data centre counts up by one with each new
+dispatcher, so that endpoints refuse the orders of earlier ones.
+"""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from ..ids import DataCentre, Epoch, HostId, Incarnation
+from .routes import NO_CONFIGURATION, Configuration
+
+__all__ = ["FleetState", "Ownership", "PutConfiguration", "SetOwner", "encode_command"]
+
+
+class Ownership(msgspec.Struct, frozen=True):
+    """Which process dispatches to the endpoints of a data centre.
+
+    Parameters
+    ----------
+    data_centre : DataCentre
+        The data centre.
+    epoch : Epoch
+        Counts the dispatchers of the data centre, from 1.
+    host : HostId
+        The entry host.
+    incarnation : Incarnation
+        The process there; a restarted one needs an ownership of its own.
+    """
+
+    data_centre: DataCentre
+    epoch: Epoch
+    host: HostId
+    incarnation: Incarnation
+
+
+class PutConfiguration(msgspec.Struct, frozen=True, tag="put"):
+    """Put a configuration in force, unless one of its version or higher is."""
+
+    configuration: Configuration
+
+
+class SetOwner(msgspec.Struct, frozen=True, tag="owner"):
+    """Name the next dispatcher of a data centre; only the next epoch counts."""
+
+    ownership: Ownership
+
+
+Command = PutConfiguration | SetOwner
+
+
+class _Image(msgspec.Struct, frozen=True):
+    """The whole state, as in a snapshot."""
+
+    configuration: Configuration
+    ownerships: tuple[Ownership, ...]
+
+
+_command_decoder: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(Command)
+_image_decoder = msgspec.msgpack.Decoder(_Image)
+
+TAKEN = b"taken"
+PASSED_OVER = b"passed over"
+
+
+def encode_command(command: Command) -> bytes:
+    """Return a command as it is agreed on."""
+    return msgspec.msgpack.encode(command)
+
+
+class FleetState:
+    """The agreed state; a `StateMachine`.
+
+    Attributes
+    ----------
+    configuration : Configuration
+        The configuration in force.
+    changed : callable
+        Called after each change.
+    """
+
+    def __init__(self) -> None:
+        self.configuration = NO_CONFIGURATION
+        self.changed: Callable[[], None] = lambda: None
+        self._ownerships: dict[DataCentre, Ownership] = {}
+
+    @property
+    def ownerships(self) -> Iterable[Ownership]:
+        """The newest ownership of each data centre."""
+        return self._ownerships.values()
+
+    def owner(self, data_centre: DataCentre) -> Ownership | None:
+        """Return who dispatches to a data centre, if anyone does."""
+        return self._ownerships.get(data_centre)
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Carry out a command and tell whether it took effect."""
+        match _command_decoder.decode(command):
+            case PutConfiguration(configuration):
+                taken = configuration.version > self.configuration.version
+                if taken:
+                    self.configuration = configuration
+            case SetOwner(ownership):
+                known = self._ownerships.get(ownership.data_centre)
+                taken = ownership.epoch == (known.epoch if known else 0) + 1
+                if taken:
+                    self._ownerships[ownership.data_centre] = ownership
+        self.changed()
+        return TAKEN if taken else PASSED_OVER
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        image = _Image(self.configuration, tuple(self._ownerships.values()))
+        return msgspec.msgpack.encode(image)
+
+    def restore(self, data: bytes) -> None:
+        """Put the state of a snapshot in the place of this one."""
+        image = _image_decoder.decode(data)
+        self.configuration = image.configuration
+        self._ownerships = {owned.data_centre: owned for owned in image.ownerships}
+        self.changed()
--- /dev/null
+++ b/currantwell/fleet/fleet_view.py
@@ -0,0 +1,191 @@
+"""What an entry host knows of the fleet, told by the control hosts.
+
+Invariants: the configuration never goes back to a lower version within one life of the
+process, and of two ownerships of a data centre the one with the higher epoch counts,
+whichever control host tells.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+
+import trio
+
+from .. import events
+from ..clock import now_s
+from ..ids import DataCentre, EndpointId, HostId
+from ..kernel import ServiceName
+from .channel import Channel, open_channel
+from .fleet_state import Ownership
+from .messages import (
+    ConfigurationTold,
+    ControlHostsTold,
+    EndpointReport,
+    EndpointsGone,
+    EndpointsHeard,
+    EndpointsTold,
+    HostHello,
+    HostsTold,
+    Message,
+    OwnershipsTold,
+)
+from .routes import NO_CONFIGURATION, Configuration, Route, RouteTable
+
+__all__ = ["FleetView", "KnownEndpointReport"]
+
+DIAL_PAUSE_S = 0.1
+
+
+class KnownEndpointReport:
+    """A report and when its endpoint was last heard by a control host."""
+
+    __slots__ = ("heard_s", "report")
+
+    def __init__(self, report: EndpointReport, heard_s: float) -> None:
+        self.report = report
+        self.heard_s = heard_s
+
+
+class FleetView:
+    """The service that keeps channels to the control hosts.
+
+    Parameters
+    ----------
+    hello : HostHello
+        This host.
+    seeds : sequence of str
+        Addresses at which control hosts accept channels, as first known.
+
+    Attributes
+    ----------
+    configuration : Configuration
+        The newest that any control host told.
+    changed : callable
+        Called after each change of ownerships, hosts or endpoints.
+    """
+
+    name = ServiceName("fleet-view")
+
+    def __init__(self, hello: HostHello, seeds: Sequence[str]) -> None:
+        self.configuration: Configuration = NO_CONFIGURATION
+        self.changed: Callable[[], None] = lambda: None
+        self.endpoints: dict[EndpointId, KnownEndpointReport] = {}
+        self._hello = hello
+        self._routes = RouteTable()
+        self._ownerships: dict[DataCentre, Ownership] = {}
+        self._hosts: dict[Channel, dict[HostId, HostHello]] = {}
+        self._addresses = set(seeds)
+        self._new_address = trio.Event()
+
+    @property
+    def connected(self) -> bool:
+        """Whether any control host is heard."""
+        return bool(self._hosts)
+
+    @property
+    def ownerships(self) -> Iterable[Ownership]:
+        """The newest ownership of each data centre."""
+        return self._ownerships.values()
+
+    def owner(self, data_centre: DataCentre) -> Ownership | None:
+        """Return who dispatches to a data centre, if anyone does."""
+        return self._ownerships.get(data_centre)
+
+    def address_of(self, ownership: Ownership) -> str | None:
+        """Return where the owner accepts channels, if its process is heard."""
+        for hosts in self._hosts.values():
+            hello = hosts.get(ownership.host)
+            if hello is not None and hello.incarnation == ownership.incarnation:
+                return hello.address
+        return None
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route of a request."""
+        return self._routes.find(host, path)
+
+    def say(self, hello: HostHello) -> None:
+        """Tell all control hosts something new about this host."""
+        self._hello = hello
+        for channel in self._hosts:
+            channel.send(hello)
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Forget an endpoint that is silent to everyone."""
+        self.endpoints.pop(endpoint, None)
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Keep a channel to each control host until cancelled."""
+        dialled: set[str] = set()
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            while True:
+                for address in self._addresses - dialled:
+                    dialled.add(address)
+                    nursery.start_soon(self._follow, address)
+                await self._new_address.wait()
+                self._new_address = trio.Event()
+
+    async def drain(self) -> None:
+        """Have nothing to finish."""
+
+    async def _follow(self, address: str) -> None:
+        while True:
+            channel = await open_channel(address)
+            if channel is not None:
+                events.CONTROL_FOUND.log(address=address)
+                await self._listen(channel)
+                events.CONTROL_LOST.log(address=address)
+            await trio.sleep(DIAL_PAUSE_S)
+
+    async def _listen(self, channel: Channel) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(channel.run)
+            self._hosts[channel] = {}
+            channel.send(self._hello)
+            try:
+                async for message in channel.messages():
+                    self._take(channel, message)
+            finally:
+                del self._hosts[channel]
+
+    def _take(self, channel: Channel, message: Message) -> None:
+        match message:
+            case ConfigurationTold(configuration):
+                self._follow_configuration(configuration)
+                return
+            case HostsTold(hosts):
+                self._hosts[channel] = {hello.host: hello for hello in hosts}
+            case ControlHostsTold(addresses):
+                self._addresses.update(addresses)
+                self._new_address.set()
+                return
+            case OwnershipsTold(ownerships):
+                for owned in ownerships:
+                    known = self._ownerships.get(owned.data_centre)
+                    if known is None or owned.epoch > known.epoch:
+                        self._ownerships[owned.data_centre] = owned
+            case EndpointsTold(reports):
+                for report in reports:
+                    self._take_report(report)
+            case EndpointsHeard(endpoints):
+                for endpoint in endpoints:
+                    if endpoint in self.endpoints:
+                        self.endpoints[endpoint].heard_s = now_s()
+                return
+            case EndpointsGone(endpoints):
+                for endpoint in endpoints:
+                    self.endpoints.pop(endpoint, None)
+        self.changed()
+
+    def _take_report(self, report: EndpointReport) -> None:
+        endpoint = report.announcement.endpoint
+        known = self.endpoints.get(endpoint)
+        if known is None or report.order() > known.report.order():
+            self.endpoints[endpoint] = KnownEndpointReport(report, now_s())
+
+    def _follow_configuration(self, configuration: Configuration) -> None:
+        if configuration.version <= self.configuration.version:
+            return
+        self.configuration = configuration
+        self._routes = RouteTable(configuration.routes)
+        events.CONFIGURATION_LEARNT.log(
+            version=configuration.version, routes=len(configuration.routes)
+        )
--- /dev/null
+++ b/currantwell/fleet/job_router.py
@@ -0,0 +1,246 @@
+"""Takes a job to the dispatchers with room for it, in parts if need be.
+
+Invariants: a job is said not to have run only if no part of it was started; a part
+whose dispatcher was lost goes to another one only once the leases of all that the lost
+one started have run out; when no one waits for a job any more, all its parts are
+stopped.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+
+import trio
+
+from .. import events
+from ..clock import now_s
+from ..codes import ResultCode, is_not_run
+from ..ids import KEY_SEPARATOR, DataCentre, JobKey, Team
+from ..submission import Submission, TaskSpec
+from .dispatcher_links import DispatcherLinks
+from .messages import DispatcherTold
+
+__all__ = [
+    "JobDone",
+    "JobFailed",
+    "JobIncomplete",
+    "JobNotRun",
+    "JobOrder",
+    "JobRouter",
+]
+
+# The lease of an endpoint, 2% for a slow clock, and the time until a loss is noticed.
+LAPSE_S = 1.05
+# How long a refused client waits at least; the crest of a swing takes seconds.
+RETRY_AFTER_S = 1.0
+# While there is no dispatcher for a moment a job waits no longer than this.
+NO_DISPATCHER_PAUSE_S = 0.02
+MAX_SENDS = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobOrder:
+    """A job as it came in.
+
+    Parameters
+    ----------
+    id : str
+        The caller's name for it.
+    team : Team
+        Whose it is.
+    tasks : sequence of TaskSpec
+        Its tasks.
+    deadline_s : float
+        When its caller stops waiting, on the runtime's clock.
+    start_by_s : float
+        When it is to be refused if nothing of it could be started.
+    """
+
+    id: str
+    team: Team
+    tasks: Sequence[TaskSpec]
+    deadline_s: float
+    start_by_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobDone:
+    """All tasks are done."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobFailed:
+    """A task has failed for good."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobNotRun:
+    """Nothing of the job was started, or will be."""
+
+    detail: str
+    retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobIncomplete:
+    """Some of the job was or may have been started, and it will not be completed."""
+
+    detail: str
+
+
+Outcome = JobDone | JobFailed | JobNotRun | JobIncomplete
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Part:
+    """Tasks of a job for one dispatcher."""
+
+    data_centre: DataCentre
+    tasks: tuple[TaskSpec, ...]
+
+
+class JobRouter:
+    """Sends jobs to dispatchers.
+
+    Parameters
+    ----------
+    home : DataCentre
+        Where this host stands; its dispatcher is asked first.
+    links : DispatcherLinks
+        Reaches the dispatchers.
+    """
+
+    def __init__(self, home: DataCentre, links: DispatcherLinks) -> None:
+        self._home = home
+        self._links = links
+        self._keys = 0
+
+    async def run(self, order: JobOrder) -> Outcome:
+        """Run a job to its end; cancelling the call stops it."""
+        with trio.move_on_at(order.deadline_s):
+            return await _Running(order, self).run()
+        return JobIncomplete("the deadline passed")
+
+    def split(self, tasks: Sequence[TaskSpec]) -> list[_Part]:
+        """Divide tasks among the dispatchers with room; empty if there is none."""
+        room = self._links.room()
+        if not room:
+            return []
+        whole = self._place_for(len(tasks), room)
+        if whole is not None:
+            return [self._take(whole, tasks)]
+        parts = []
+        left = list(tasks)
+        order = sorted(room.values(), key=lambda told: -told.free)
+        for told in order:
+            if told.free > 0 and left:
+                parts.append((told.data_centre, left[: told.free]))
+                del left[: told.free]
+        if left:
+            shortest = min(room.values(), key=_wait_s).data_centre
+            parts.append((shortest, left))
+        merged: dict[DataCentre, list[TaskSpec]] = {}
+        for data_centre, some in parts:
+            merged.setdefault(data_centre, []).extend(some)
+        return [self._take(place, some) for place, some in merged.items()]
+
+    def submission(self, order: JobOrder, part: _Part) -> Submission:
+        """Return a part as a job of its own, under a key that was never used."""
+        self._keys += 1
+        key = JobKey(f"{part.data_centre}{KEY_SEPARATOR}{order.id}.{self._keys}")
+        left_s = max(0.001, order.deadline_s - now_s())
+        return Submission(key, order.team, part.tasks, left_s)
+
+    def _place_for(
+        self, count: int, room: dict[DataCentre, DispatcherTold]
+    ) -> DataCentre | None:
+        """Return a dispatcher with room for all, the home one if it has."""
+        home = room.get(self._home)
+        if home is not None and home.free >= count:
+            return self._home
+        widest = max(room.values(), key=lambda told: told.free)
+        return widest.data_centre if widest.free >= count else None
+
+    def _take(self, data_centre: DataCentre, tasks: Sequence[TaskSpec]) -> _Part:
+        self._links.note_placed(data_centre, len(tasks))
+        return _Part(data_centre, tuple(tasks))
+
+
+class _Running:
+    """One job under way."""
+
+    def __init__(self, order: JobOrder, router: JobRouter) -> None:
+        self._order = order
+        self._router = router
+        self._links = router._links
+        self._parts = 0
+        self._not_run = 0
+        self._outcome: Outcome | None = None
+
+    async def run(self) -> Outcome:
+        """Run all parts; the first that fails ends the others."""
+        parts = await self._first_parts()
+        if not parts:
+            return JobNotRun("no dispatcher is reached", RETRY_AFTER_S)
+        self._parts = len(parts)
+        async with trio.open_nursery() as nursery:
+            for part in parts:
+                nursery.start_soon(self._run_part, part, nursery.cancel_scope)
+        return self._outcome or JobDone()
+
+    async def _first_parts(self) -> list[_Part]:
+        parts = self._router.split(self._order.tasks)
+        while not parts and now_s() < self._order.start_by_s:
+            await trio.sleep(NO_DISPATCHER_PAUSE_S)
+            parts = self._router.split(self._order.tasks)
+        return parts
+
+    async def _run_part(self, part: _Part, scope: trio.CancelScope) -> None:
+        outcome: Outcome = JobNotRun("no dispatcher took it", RETRY_AFTER_S)
+        for _ in range(MAX_SENDS):
+            told = await self._links.run_job(
+                part.data_centre, self._router.submission(self._order, part)
+            )
+            if told.code is ResultCode.COMPLETE:
+                return
+            events.JOB_RESENT.log(
+                job=self._order.id,
+                data_centre=part.data_centre,
+                tasks=len(part.tasks),
+                code=told.code.name,
+                detail=told.detail,
+            )
+            if told.code is ResultCode.UNKNOWN_OWNER_UNREACHABLE:
+                outcome = JobIncomplete(told.detail)
+                await trio.sleep(LAPSE_S)
+            elif not is_not_run(told.code):
+                failed = told.code is ResultCode.JOB_FAILED
+                kind = JobFailed if failed else JobIncomplete
+                outcome = kind(f"{told.code.name}: {told.detail}")
+                break
+            else:
+                wait_s = max(told.retry_after_s, RETRY_AFTER_S)
+                if not isinstance(outcome, JobIncomplete):
+                    outcome = JobNotRun(f"{told.code.name}: {told.detail}", wait_s)
+                if now_s() >= self._order.start_by_s:
+                    break
+            part = self._elsewhere(part)
+        self._end(outcome, scope)
+
+    def _elsewhere(self, part: _Part) -> _Part:
+        again = self._router.split(part.tasks)
+        return again[0] if len(again) == 1 else part
+
+    def _end(self, outcome: Outcome, scope: trio.CancelScope) -> None:
+        if isinstance(outcome, JobNotRun):
+            self._not_run += 1
+            if self._not_run < self._parts:
+                outcome = JobIncomplete(outcome.detail)
+        if self._outcome is None:
+            self._outcome = outcome
+        scope.cancel()
+
+
+def _wait_s(told: DispatcherTold) -> float:
+    return (told.waiting_s + 0.001) / max(1, told.slots)
--- /dev/null
+++ b/currantwell/fleet/ownership.py
@@ -0,0 +1,143 @@
+"""Which entry host dispatches to which data centre: the leader's rule.
+
+No I/O and no clock: the caller says who is heard and when, and has what comes back
+agreed. A dispatcher is kept while its process is heard. One that is lost is replaced by
+a host of the same data centre, or by one of another if something of that data centre is
+heard but no host that could serve; a data centre of which nothing is heard is cut off or
+dark, and goes on by itself.
+"""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from ..ids import DataCentre, Epoch, HostId, Incarnation
+from .fleet_state import Ownership
+from .messages import HostHello
+
+__all__ = ["OwnershipRule", "Sighting"]
+
+# Twice the longest pause of a healthy host seen on the bench; its channel is closed by
+# then, so that it has had the time to connect anew.
+LOST_AFTER_S = 0.6
+# All hosts start within 0.3 s of each other and are up 0.5 s later.
+SETTLE_S = 1.0
+# Long enough for a host that came back to learn the configuration and the endpoints.
+RETURN_AFTER_S = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class Sighting:
+    """When a host was first and last heard, on the leader's clock."""
+
+    hello: HostHello
+    first_s: float
+    last_s: float
+
+
+class OwnershipRule:
+    """Decides on the next ownerships.
+
+    Parameters
+    ----------
+    data_centres : iterable of DataCentre
+        All data centres.
+    """
+
+    def __init__(self, data_centres: Iterable[DataCentre]) -> None:
+        self._data_centres = tuple(sorted(data_centres))
+        self._began_s: float | None = None
+
+    def reset(self) -> None:
+        """Begin anew, as a new leader: it has yet to hear the hosts."""
+        self._began_s = None
+
+    def next(
+        self,
+        now_s: float,
+        owners: Mapping[DataCentre, Ownership],
+        sightings: Mapping[HostId, Sighting],
+    ) -> list[Ownership]:
+        """Return the ownerships to have agreed now.
+
+        Parameters
+        ----------
+        now_s : float
+            The leader's clock.
+        owners : mapping
+            Who dispatches now.
+        sightings : mapping
+            Hosts that were heard.
+        """
+        if self._began_s is None:
+            self._began_s = now_s
+        if now_s - self._began_s < SETTLE_S:
+            return []
+        fresh = {
+            host: seen
+            for host, seen in sightings.items()
+            if now_s - seen.last_s <= LOST_AFTER_S
+        }
+        load: dict[HostId, int] = {}
+        for owned in owners.values():
+            load[owned.host] = load.get(owned.host, 0) + 1
+        changes = []
+        reached = {seen.hello.data_centre for seen in fresh.values()}
+        for data_centre in self._data_centres:
+            if data_centre not in reached:
+                continue
+            owned = owners.get(data_centre)
+            chosen = self._choose(data_centre, owned, fresh, load, now_s)
+            if chosen is not None:
+                epoch = Epoch((owned.epoch if owned else 0) + 1)
+                load[chosen.host] = load.get(chosen.host, 0) + 1
+                changes.append(
+                    Ownership(data_centre, epoch, chosen.host, chosen.incarnation)
+                )
+        return changes
+
+    def _choose(
+        self,
+        data_centre: DataCentre,
+        owned: Ownership | None,
+        fresh: Mapping[HostId, Sighting],
+        load: Mapping[HostId, int],
+        now_s: float,
+    ) -> HostHello | None:
+        """Return the next dispatcher; None if there is to be no change."""
+        usable = [
+            seen
+            for seen in fresh.values()
+            if seen.hello.dispatches and not seen.hello.draining
+        ]
+        current = _process(owned, fresh)
+        if current is not None and not current.hello.draining:
+            if current.hello.data_centre == data_centre:
+                return None
+            usable = [
+                seen
+                for seen in usable
+                if seen.hello.data_centre == data_centre
+                and now_s - seen.first_s >= RETURN_AFTER_S
+            ]
+        if not usable:
+            return None
+        best = min(
+            usable,
+            key=lambda seen: (
+                seen.hello.data_centre != data_centre,
+                load.get(seen.hello.host, 0),
+                seen.hello.host,
+            ),
+        )
+        return best.hello
+
+
+def _process(
+    owned: Ownership | None, fresh: Mapping[HostId, Sighting]
+) -> Sighting | None:
+    """Return the sighting of the very process that owns, if it is heard."""
+    if owned is None:
+        return None
+    seen = fresh.get(owned.host)
+    incarnation: Incarnation = owned.incarnation
+    return seen if seen is not None and seen.hello.incarnation == incarnation else None
--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -78,7 +78,7 @@
         parts = self._http_parts(gateway, plane.control)
         self._api = api = HttpApi(own.data_centre, router, gateway, parts)
         listener = bind(own.address, own.http_port)
-        server = HttpServer(api.app(), listener, own.drain_timeout_s)
+        server = HttpServer(api.app(), listener, graceful_s=own.drain_timeout_s)
         self.address = server.address
         monitor = LoopMonitor(self._metrics)
         first, last = self._jobs.first(), self._jobs.last()
--- a/currantwell/http_client.py
+++ b/currantwell/http_client.py
@@ -1,6 +1,6 @@
 """JSON over HTTP with deadlines, by `httpcore`."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 
 import httpcore
@@ -34,7 +34,7 @@
 
     A request that runs out of time closes its connection, so that the next one
     opens another: a connection may have gone silent for good while new ones work.
-    At most one idle connection is kept, lest several silent ones be tried in turn.
+    By default one idle connection is kept, lest several silent ones be tried in turn.
 
     Parameters
     ----------
@@ -44,10 +44,16 @@
         Most connections at the same time.
     token : str or None
         Sent as a bearer token.
+    max_idle : int
+        Most idle connections kept.
     """
 
     def __init__(
-        self, url: str, max_connections: int = 8, token: str | None = None
+        self,
+        url: str,
+        max_connections: int = 8,
+        token: str | None = None,
+        max_idle: int = 1,
     ) -> None:
         self._url = url.rstrip("/")
         self._headers = list(JSON_HEADERS)
@@ -55,14 +61,19 @@
             self._headers.append((b"authorization", b"Bearer " + token.encode()))
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=max_connections,
-            max_keepalive_connections=1,
+            max_keepalive_connections=max_idle,
             keepalive_expiry=KEEPALIVE_S,
         )
 
     async def request(
-        self, method: str, path: str, body: bytes = b"", timeout_s: float = 5.0
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_s: float = 5.0,
+        headers: Sequence[tuple[bytes, bytes]] = (),
     ) -> HttpReply:
-        """Send a request and return the whole reply.
+        """Send a request, with further headers, and return the whole reply.
 
         Raises
         ------
@@ -74,7 +85,7 @@
                 reply = await self._pool.request(
                     method,
                     self._url + path,
-                    headers=self._headers,
+                    headers=[*self._headers, *headers],
                     content=body or None,
                 )
         except (trio.TooSlowError, *_NETWORK_ERRORS) as error:
--- a/currantwell/http_server.py
+++ b/currantwell/http_server.py
@@ -1,15 +1,21 @@
 """Serves an ASGI application by `hypercorn` on the runtime's loop."""
 
 import socket
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
 
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
-from starlette.types import ASGIApp
 
 from .kernel import ServiceName
 
-__all__ = ["HttpServer", "bind"]
+__all__ = ["AsgiApp", "HttpServer", "bind"]
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+AsgiApp = Callable[[Scope, Receive, Send], Awaitable[None]]
 
 KEEP_ALIVE_S = 60.0
 READ_TIMEOUT_S = 30
@@ -33,10 +39,10 @@
 
     Parameters
     ----------
-    app : ASGIApp
+    app : AsgiApp
         What to serve.
-    listener : socket.socket
-        A bound socket.
+    *listeners : socket.socket
+        Bound sockets.
     graceful_s : float
         How long requests in progress may take after `drain`.
     """
@@ -44,14 +50,14 @@
     name = ServiceName("http")
 
     def __init__(
-        self, app: ASGIApp, listener: socket.socket, graceful_s: float = 30.0
+        self, app: AsgiApp, *listeners: socket.socket, graceful_s: float = 30.0
     ) -> None:
         self._app = app
-        self.address: tuple[str, int] = listener.getsockname()
+        self.address: tuple[str, int] = listeners[0].getsockname()
         self._stop = trio.Event()
         self._stopped = trio.Event()
         self._config = Config()
-        self._config.bind = [f"fd://{listener.detach()}"]
+        self._config.bind = [f"fd://{one.detach()}" for one in listeners]
         self._config.backlog = BACKLOG
         self._config.graceful_timeout = graceful_s
         self._config.keep_alive_timeout = KEEP_ALIVE_S
--- a/currantwell/job_log.py
+++ b/currantwell/job_log.py
@@ -10,7 +10,7 @@
 from .journal import Journal
 from .records import Record, decode_record, encode_record
 
-__all__ = ["JobLog", "LocalJobLog"]
+__all__ = ["JobLog", "LocalJobLog", "VolatileJobLog"]
 
 
 class JobLog(Protocol):
@@ -117,6 +117,35 @@
         group.check()
 
 
+class VolatileJobLog:
+    """A job log for jobs whose callers wait for the answer and would send them again.
+
+    Nothing is kept: such a job ends with its dispatcher.
+    """
+
+    def recover(self) -> Iterator[Record]:
+        """Return nothing."""
+        return iter(())
+
+    def second_copy_missing(self) -> bool:
+        """No copy is needed."""
+        return False
+
+    def unconfirmed_jobs(self) -> frozenset[JobId]:
+        """No job is recovered."""
+        return frozenset()
+
+    def confirmed_age_s(self) -> float:
+        """Endpoints refuse an earlier dispatcher by its epoch."""
+        return 0.0
+
+    async def confirm(self) -> None:
+        """A refusal speaks for this dispatcher alone."""
+
+    async def commit(self, records: Sequence[Record]) -> None:
+        """Return at once."""
+
+
 class _Group:
     """Commits that share one sync."""
 
--- a/currantwell/jobs.py
+++ b/currantwell/jobs.py
@@ -27,8 +27,6 @@
 
 __all__ = ["Job", "JobTable", "Task"]
 
-MAX_FAILED_ATTEMPTS = 3
-
 
 @dataclasses.dataclass(slots=True)
 class Task:
@@ -47,6 +45,7 @@
     epoch: Epoch | None = None
     value: Any = None
     in_doubt: bool = False
+    failures: int = 0
 
     @property
     def ended(self) -> bool:
@@ -223,7 +222,9 @@
             self._settle(job, task, TaskState.UNKNOWN, record)
 
     def _failed(self, job: Job, task: Task, record: AttemptEnded) -> None:
-        again = task.attempt < MAX_FAILED_ATTEMPTS
+        if record.code is ResultCode.TASK_FAILED:
+            task.failures += 1
+        again = task.failures < task.spec.max_failures
         if again and self._may_restart(job, task, RestartRule.IF_OVER):
             task.state = TaskState.WAITING
             task.in_doubt = True
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -31,9 +31,10 @@
     StragglerRule,
 )
 from .presets import FixedPreset, Preset, PresetSource
+from .submission import TaskSpec
 from .waiting import JobGroup, JobRequest, PlacedTask, Shape, WaitingTask, shape_of
 
-__all__ = ["Policies", "Scheduler"]
+__all__ = ["Policies", "Room", "Scheduler"]
 
 LONG_TASK_S = 2.0
 BUDGET_PAUSE_S = 0.1
@@ -42,6 +43,25 @@
 REFUSED_CODES = frozenset({ResultCode.NOT_RUN_OVERLOADED})
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Room:
+    """How much more could start.
+
+    Parameters
+    ----------
+    free : int
+        How many tasks like the newest one could start now.
+    slots : int
+        How many such tasks all endpoints hold together.
+    waiting_s : float
+        Estimated run time of the waiting tasks together.
+    """
+
+    free: int
+    slots: int
+    waiting_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policies:
     """Everything that decides."""
@@ -77,6 +97,7 @@
         self._deadlines: list[tuple[float, JobId]] = []
         self._delayed: list[tuple[float, int, WaitingTask]] = []
         self._delays = 0
+        self._newest: TaskSpec | None = None
 
     @property
     def endpoints(self) -> Sequence[EndpointLoad]:
@@ -88,6 +109,17 @@
         """How many tasks wait."""
         return self._backlog.tasks
 
+    def room(self) -> Room:
+        """Return how much more could start, in tasks like the newest one."""
+        loads = [load for load in self._endpoints.values() if load.usable()]
+        spec = self._newest
+        if spec is None:
+            free = sum(load.free() for load in loads)
+            return Room(free, sum(load.announcement.slots for load in loads), 0.0)
+        free = sum(load.free_for(spec) for load in loads)
+        slots = sum(load.slots_for(spec) for load in loads)
+        return Room(free, slots, self._backlog.work_s)
+
     def admit(self, request: JobRequest, now_s: float) -> Refusal | None:
         """Return why a new job is refused, or None if it may be added."""
         refusal = self._policies.admission.check(
@@ -111,6 +143,7 @@
         """
         if not attempts:
             return
+        self._newest = request.tasks[0]
         group = JobGroup(request.job, request.team, now_s)
         tasks = [
             self._new_task(request, group, index, attempt, now_s)
--- a/currantwell/submission.py
+++ b/currantwell/submission.py
@@ -30,6 +30,7 @@
 MAX_MEMORY_MB = 4 * 1024 * 1024
 MAX_ACCELERATORS = 64
 MAX_PAYLOAD_DEPTH = 64
+MAX_FAILURES = 100
 MIN_INTEGER = -(2**63)
 MAX_INTEGER = 2**64 - 1
 MAX_REASON_CHARS = 200
@@ -71,6 +72,10 @@
         Data centre asked for.
     endpoint : str or None
         Endpoint asked for.
+    pool : str or None
+        Pool of endpoints asked for.
+    max_failures : int
+        After so many failed attempts the task has failed.
     """
 
     kind: str
@@ -82,6 +87,8 @@
     restart: RestartRule = RestartRule.IF_NOT_RUN
     data_centre: DataCentre | None = None
     endpoint: EndpointId | None = None
+    pool: str | None = None
+    max_failures: int = 3
 
 
 class Submission(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -162,6 +169,7 @@
     _check_payload(f"{prefix}.payload", task.payload)
     if task.run_time_s is not None:
         _check_range(f"{prefix}.run_time_s", task.run_time_s, 0.0, MAX_DEADLINE_S)
+    _check_range(f"{prefix}.max_failures", task.max_failures, 1, MAX_FAILURES)
     _check_range(f"{prefix}.processors", task.processors, 0.0, MAX_PROCESSORS)
     _check_range(f"{prefix}.memory_mb", task.memory_mb, 0, MAX_MEMORY_MB)
     _check_range(f"{prefix}.accelerators", task.accelerators, 0, MAX_ACCELERATORS)
--- a/currantwell/waiting.py
+++ b/currantwell/waiting.py
@@ -9,7 +9,7 @@
 
 __all__ = ["JobGroup", "JobRequest", "PlacedTask", "Shape", "WaitingTask", "shape_of"]
 
-Shape = tuple[float, int, int, str | None, str | None]
+Shape = tuple[float, int, int, str | None, str | None, str | None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,7 +103,7 @@
     estimate_s: float = 0.0
     long: bool = False
     group: JobGroup | None = None
-    shape: Shape = (1.0, 0, 0, None, None)
+    shape: Shape = (1.0, 0, 0, None, None, None)
     started_s: float = 0.0
     passed_s: float | None = None
 
@@ -130,4 +130,5 @@
         spec.accelerators,
         spec.data_centre,
         spec.endpoint,
+        spec.pool,
     )
