Keep a draining endpoint drained when a beat says nothing of it

A beat without word of draining reset what the announcement had said, until the next look 0.1 s later.

--- a/currantwell/endpoint_protocol.py
+++ b/currantwell/endpoint_protocol.py
@@ -304,8 +304,8 @@
         The endpoint's incarnation.
     running : int
         Tasks it runs now.
-    draining : bool
-        Whether it wants no new start.
+    draining : bool or None
+        Whether it wants no new start; None if only announcements say that.
     used_processors : float
         Processor cores in use, as last measured; lags.
     """
@@ -313,7 +313,7 @@
     beat: int
     incarnation: Incarnation
     running: int
-    draining: bool = False
+    draining: bool | None = False
     used_processors: float = 0.0
 
 
--- a/currantwell/endpoint_roster.py
+++ b/currantwell/endpoint_roster.py
@@ -141,7 +141,7 @@
         said = msgspec.structs.replace(
             known.announcement,
             running=beat.running,
-            draining=beat.draining,
+            draining=_said_draining(known.announcement, beat),
             used_processors=beat.used_processors,
         )
         self._take_in(known, said)
@@ -202,5 +202,9 @@
         self._scheduler.endpoint_announced(said, now_s())
 
 
+def _said_draining(known: Announcement, beat: Beat) -> bool:
+    return known.draining if beat.draining is None else beat.draining
+
+
 def _same_process(old: Announcement, new: Announcement) -> bool:
     return old.incarnation == new.incarnation and old.url == new.url
