Give up a job as soon as its progress shows that it will miss its deadline

Jobs with a task of seven times the usual length hold slots until the deadline; others were refused by declared run times, which are off by half, while endpoints were free.

Change: links tell how far attempts have come, the dispatcher stops what will end too late or starts it anew where that helps, admission looks at the queue alone, and jobs of which nothing starts are refused before half of their time.

--- a/currantwell/admission.py
+++ b/currantwell/admission.py
@@ -19,7 +19,7 @@
 from .quotas import QuotaSource
 from .waiting import JobRequest, Shape, shape_of
 
-__all__ = ["AdmitAll", "TimelyAdmission"]
+__all__ = ["AdmitAll", "ShortQueueAdmission", "TimelyAdmission"]
 
 SETTLE_S = 3.0
 MAX_RETRY_AFTER_S = 30.0
@@ -175,6 +175,58 @@
         return max(max(estimates) / fastest, sum(estimates) / capacity)
 
 
+class ShortQueueAdmission:
+    """Lets in what can start soon, whatever its declared run time.
+
+    For jobs that are given up early: a job that looks too long is tried where there is
+    room, since declared run times are often far off.
+
+    Parameters
+    ----------
+    max_wait_s : float
+        Longest expected wait.
+    """
+
+    def __init__(self, max_wait_s: float) -> None:
+        self._max_wait_s = max_wait_s
+        self._changed_s: float | None = None
+
+    def check(
+        self,
+        request: JobRequest,
+        endpoints: Sequence[EndpointLoad],
+        backlog: Backlog,
+        now_s: float,
+    ) -> Refusal | None:
+        """Return why the job is refused, or None."""
+        usable = [load for load in endpoints if load.usable()]
+        index = _impossible_task(request, [load.announcement for load in endpoints])
+        if index is not None:
+            settled = self._changed_s is not None and (
+                now_s - self._changed_s >= SETTLE_S
+            )
+            if settled:
+                return _impossible(index)
+            detail = "no endpoint that could run this task is here yet"
+            return Refusal(
+                ResultCode.NOT_RUN_OVERLOADED, detail, f"tasks[{index}]", SETTLE_S
+            )
+        spec = request.tasks[0]
+        slots = sum(load.slots_for(spec) * load.speed for load in usable)
+        wait_s = backlog.work_s / slots if slots > 0 else SETTLE_S
+        if wait_s <= self._max_wait_s:
+            return None
+        return Refusal(
+            ResultCode.NOT_RUN_OVERLOADED,
+            f"work that waits takes {wait_s:.2f} s",
+            retry_after_s=_retry_after_s(wait_s),
+        )
+
+    def membership_changed(self, now_s: float) -> None:
+        """Note that an endpoint has come."""
+        self._changed_s = now_s
+
+
 def _impossible_task(request: JobRequest, said: Sequence[Announcement]) -> int | None:
     """Return the first task that no endpoint could run."""
     seen: set[Shape] = set()
--- a/currantwell/dispatch_policies.py
+++ b/currantwell/dispatch_policies.py
@@ -2,18 +2,18 @@
 
 import random
 
-from .admission import TimelyAdmission
+from .admission import ShortQueueAdmission, TimelyAdmission
 from .budgets import TokenBudget
 from .ejection import EvidenceEjection
 from .estimates import LearntEstimates
 from .ordering import FairOrdering
 from .placement import TailAwarePlacement
-from .presets import PresetSource
+from .presets import FixedPreset, PresetSource
 from .quotas import QuotaSource
 from .scheduler import Policies, Scheduler
 from .stragglers import RestartStragglers
 
-__all__ = ["dispatch_policies", "dispatch_scheduler"]
+__all__ = ["dispatch_policies", "dispatch_scheduler", "prompt_scheduler"]
 
 
 def dispatch_policies(
@@ -47,3 +47,26 @@
 ) -> Scheduler:
     """Return a scheduler with the policies of a host."""
     return Scheduler(dispatch_policies(presets, quotas, source), presets)
+
+
+def prompt_scheduler(max_wait_s: float, source: random.Random) -> Scheduler:
+    """Return a scheduler for jobs whose callers wait for the answer.
+
+    Parameters
+    ----------
+    max_wait_s : float
+        A job that would wait longer is refused.
+    source : random.Random
+        Where jitter comes from.
+    """
+    estimates = LearntEstimates()
+    policies = Policies(
+        TailAwarePlacement(cap_long=False),
+        FairOrdering(None),
+        ShortQueueAdmission(max_wait_s),
+        estimates,
+        EvidenceEjection(),
+        TokenBudget(source),
+        RestartStragglers(estimates),
+    )
+    return Scheduler(policies, FixedPreset())
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -7,7 +7,8 @@
 """
 
 import dataclasses
-from collections.abc import Iterator, Sequence
+import math
+from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager, suppress
 
 import trio
@@ -56,6 +57,9 @@
 TICK_S = 0.1
 PAUSE_POLL_S = 0.02
 FORGET_INTERVAL_S = 10.0
+# Room for the stop of the first attempt and an estimate that is too low.
+RESTART_MARGIN = 1.3
+MAX_RESTARTS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -366,6 +370,35 @@
         self._wake.set()
         return self._roster.beat(endpoint, beat)
 
+    def progress_seen(
+        self, endpoint: EndpointId, left_s: Mapping[AttemptRef, float]
+    ) -> None:
+        """Give up jobs that will miss their deadline by how far attempts have come.
+
+        An attempt that is late only where it runs is stopped and started anew.
+        """
+        now = now_s()
+        for ref, attempt_left_s in left_s.items():
+            job = self.table.jobs.get(ref.job)
+            if job is None or not job.submission.give_up_early or job.doomed:
+                continue
+            deadline_s = now + job.deadline_unix_s - self._calendar.unix_s()
+            if now + attempt_left_s <= deadline_s:
+                continue
+            known = self._roster.get(endpoint)
+            again_s = now + RESTART_MARGIN * self._scheduler.shortest_run_s(ref)
+            if again_s <= deadline_s and ref.attempt < MAX_RESTARTS and known:
+                known.link.send((), (ref,))
+                continue
+            events.JOB_GIVEN_UP.log(
+                job=ref.job,
+                task=ref.task,
+                endpoint=endpoint,
+                task_left_s=round(attempt_left_s, 3),
+                deadline_left_s=round(deadline_s - now, 3),
+            )
+            self._doom(job, ResultCode.DEADLINE_PASSED)
+
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
         """Note whether an endpoint answers."""
         self._scheduler.endpoint_reachable(endpoint, answers)
@@ -419,17 +452,23 @@
         record = JobAccepted(
             job, digest, submission, unix_s, unix_s + submission.deadline_s
         )
+        request = self._request(job, submission)
         self._accepted[job] = self._put([record])
         self._answered[job] = trio.Event()
         attempts = {index: 1 for index in range(len(submission.tasks))}
-        self._scheduler.add(self._request(job, submission), attempts, now_s())
+        self._scheduler.add(request, attempts, now_s())
 
     def _request(self, job: JobId, submission: Submission) -> JobRequest:
         held = self.table.jobs.get(job)
         left_s = submission.deadline_s
+        start_by_s = math.inf
         if held is not None:
             left_s = held.deadline_unix_s - self._calendar.unix_s()
-        return JobRequest(job, submission.team, submission.tasks, now_s() + left_s)
+        elif submission.start_within_s is not None:
+            start_by_s = now_s() + submission.start_within_s
+        return JobRequest(
+            job, submission.team, submission.tasks, now_s() + left_s, start_by_s
+        )
 
     def _answer(self, job_key: JobId) -> Answer | Refusal:
         job = self.table.jobs.get(job_key)
--- a/currantwell/endpoint_link.py
+++ b/currantwell/endpoint_link.py
@@ -8,7 +8,7 @@
 connection may have gone silent for good while new ones work.
 """
 
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from typing import Protocol
 
 import msgspec
@@ -73,6 +73,12 @@
         """Take in a sign of life and return the lease granted, if any."""
         ...
 
+    def progress_seen(
+        self, endpoint: EndpointId, left_s: Mapping[AttemptRef, float]
+    ) -> None:
+        """Take in how long attempts will still run, as seen from their progress."""
+        ...
+
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
         """Note whether the endpoint answers."""
         ...
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -232,6 +232,12 @@
 CALLER_GONE = _event(
     805, "caller_gone", Level.INFO, "The caller of a job left; the job is stopped."
 )
+JOB_GIVEN_UP = _event(
+    807,
+    "job_given_up",
+    Level.INFO,
+    "A job is stopped, since a task of it is seen to end after the deadline.",
+)
 REQUEST_MALFORMED = _event(
     806, "request_malformed", Level.WARNING, "A request can't be read."
 )
--- a/currantwell/fleet/entry_service.py
+++ b/currantwell/fleet/entry_service.py
@@ -19,8 +19,8 @@
 
 __all__ = ["EntryService"]
 
-# A refusal that comes later than a quarter of the time aimed at helps the caller less.
-START_BY_SHARE = 0.25
+# A job that is given up later than at half of its time left its caller waiting in vain.
+START_BY_SHARE = 0.45
 
 
 class EntryService:
@@ -75,9 +75,8 @@
         """Run tasks that may start now to their end."""
         if self.closing:
             return JobNotRun("this host is about to stop", 1.0)
-        longest_s = max((task.run_time_s or 0.0) for task in tasks)
-        aim_s = route.target_s + route.stretch * longest_s
-        start_by_s = now_s() + START_BY_SHARE * aim_s
+        now = now_s()
+        start_by_s = now + START_BY_SHARE * (deadline_s - now)
         order = JobOrder(identifier, route.team, tasks, deadline_s, start_by_s)
         self.in_flight += 1
         try:
--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -149,8 +149,15 @@
         """Return a part as a job of its own, under a key that was never used."""
         self._keys += 1
         key = JobKey(f"{part.data_centre}{KEY_SEPARATOR}{order.id}.{self._keys}")
-        left_s = max(0.001, order.deadline_s - now_s())
-        return Submission(key, order.team, part.tasks, left_s)
+        now = now_s()
+        return Submission(
+            key,
+            order.team,
+            part.tasks,
+            max(0.001, order.deadline_s - now),
+            max(0.0, order.start_by_s - now),
+            give_up_early=True,
+        )
 
     def _place_for(
         self, count: int, room: dict[DataCentre, DispatcherTold]
--- a/currantwell/jobs.py
+++ b/currantwell/jobs.py
@@ -222,7 +222,8 @@
             self._settle(job, task, TaskState.UNKNOWN, record)
 
     def _failed(self, job: Job, task: Task, record: AttemptEnded) -> None:
-        if record.code is ResultCode.TASK_FAILED:
+        started = task.state is TaskState.STARTED
+        if started and record.code is ResultCode.TASK_FAILED:
             task.failures += 1
         again = task.failures < task.spec.max_failures
         if again and self._may_restart(job, task, RestartRule.IF_OVER):
@@ -288,14 +289,22 @@
     if task.endpoint is None or task.incarnation is None:
         return
     epoch = task.epoch if task.epoch is not None else Epoch(0)
-    if task.in_doubt and task.state is TaskState.STARTED:
-        earlier = AttemptRef(ref.job, ref.task, ref.attempt - 1)
+    waiting = task.state is TaskState.WAITING
+    failed_last = task.failures > 0 and (waiting or task.code is ResultCode.TASK_FAILED)
+    before = task.failures - failed_last
+    code = ResultCode.TASK_FAILED
+    if not before and task.in_doubt and task.state is TaskState.STARTED:
+        before, code = 1, ResultCode.UNKNOWN_ATTEMPT_LOST
+    for attempt in range(ref.attempt - before, ref.attempt):
+        earlier = AttemptRef(ref.job, ref.task, attempt)
         yield AttemptStarted(earlier, epoch, task.endpoint, task.incarnation)
-        yield AttemptEnded(earlier, ResultCode.UNKNOWN_ATTEMPT_LOST)
+        yield AttemptEnded(earlier, code)
     yield AttemptStarted(ref, epoch, task.endpoint, task.incarnation)
-    if task.state is not TaskState.WAITING:
+    if not waiting:
         return
-    if task.in_doubt:
+    if failed_last:
+        yield AttemptEnded(ref, ResultCode.TASK_FAILED)
+    elif task.in_doubt:
         yield AttemptEnded(ref, ResultCode.UNKNOWN_ATTEMPT_LOST)
     else:
         yield AttemptWithdrawn(ref)
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -11,6 +11,7 @@
 
 import dataclasses
 import heapq
+import math
 from collections.abc import Sequence
 
 from .answers import Refusal
@@ -95,6 +96,7 @@
         self._waiting: dict[JobId, dict[int, WaitingTask]] = {}
         self._placed: dict[AttemptRef, tuple[EndpointId, WaitingTask]] = {}
         self._deadlines: list[tuple[float, JobId]] = []
+        self._start_by: list[tuple[float, JobId]] = []
         self._delayed: list[tuple[float, int, WaitingTask]] = []
         self._delays = 0
         self._newest: TaskSpec | None = None
@@ -154,6 +156,8 @@
             waiting[task.task] = task
             self._backlog.add(task)
         heapq.heappush(self._deadlines, (request.deadline_s, request.job))
+        if request.start_by_s < request.deadline_s:
+            heapq.heappush(self._start_by, (request.start_by_s, request.job))
         first = [task for task in tasks if task.attempt <= 1]
         if first:
             self._policies.ordering.add(first, now_s)
@@ -235,20 +239,43 @@
             self._policies.ejection.refused(endpoint, now_s)
 
     def expired(self, now_s: float) -> list[JobId]:
-        """Return the jobs with waiting tasks whose deadline has passed, once each."""
+        """Return the jobs with waiting tasks that are out of time, once each.
+
+        Their deadline has passed, or the time by which the first task had to start.
+        """
         jobs = []
+        while self._start_by and self._start_by[0][0] <= now_s:
+            _, job = heapq.heappop(self._start_by)
+            if self._untouched(job):
+                jobs.append(job)
         while self._deadlines and self._deadlines[0][0] <= now_s:
             _, job = heapq.heappop(self._deadlines)
             if job in self._waiting:
                 jobs.append(job)
         return jobs
 
+    def _untouched(self, job: JobId) -> bool:
+        """Tell whether a job waits and nothing of it was ever placed."""
+        waiting = self._waiting.get(job)
+        return bool(waiting) and all(
+            task.attempt <= 1 and (task.group is None or not task.group.end_s)
+            for task in waiting.values()
+        )
+
     def stragglers(self, now_s: float) -> list[AttemptRef]:
         """Return attempts that are better stopped and, once over, started anew."""
         return self._policies.stragglers.pick(
             self.endpoints, self._presets.preset(), now_s
         )
 
+    def shortest_run_s(self, ref: AttemptRef) -> float:
+        """Return the run time expected of a placed attempt at the fastest endpoint."""
+        _, task = self._placed.get(ref, (None, None))
+        speeds = [load.speed for load in self._endpoints.values() if load.usable()]
+        if task is None or not speeds:
+            return math.inf
+        return task.estimate_s / max(speeds)
+
     def remove(self, job: JobId) -> None:
         """Take all waiting tasks of a job out of the queue."""
         for task in self._waiting.pop(job, {}).values():
--- a/currantwell/submission.py
+++ b/currantwell/submission.py
@@ -104,12 +104,20 @@
         One to `MAX_TASKS` tasks.
     deadline_s : float
         Seconds from acceptance after which no task is started any more.
+    start_within_s : float or None
+        Seconds from acceptance after which the job is given up if nothing of it was
+        started; None for the deadline.
+    give_up_early : bool
+        Whether the job is stopped as soon as it is seen to miss the deadline, since
+        nobody waits for its answer after it.
     """
 
     key: JobKey
     team: Team
     tasks: tuple[TaskSpec, ...]
     deadline_s: float = 60.0
+    start_within_s: float | None = None
+    give_up_early: bool = False
 
 
 class SingleRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -193,6 +201,8 @@
         raise InvalidRequest(
             "deadline_s", f"{submission.deadline_s} is not in (0, {MAX_DEADLINE_S}]"
         )
+    if submission.start_within_s is not None:
+        _check_range("start_within_s", submission.start_within_s, 0.0, MAX_DEADLINE_S)
     for index, task in enumerate(submission.tasks):
         _check_task(index, task)
     return submission
--- a/currantwell/waiting.py
+++ b/currantwell/waiting.py
@@ -1,6 +1,7 @@
 """Jobs and tasks as the scheduler sees them."""
 
 import dataclasses
+import math
 from collections.abc import Sequence
 
 from .endpoint_protocol import AttemptRef
@@ -26,12 +27,15 @@
         Its tasks.
     deadline_s : float
         When it is too late to start a task, on the runtime's clock.
+    start_by_s : float
+        When it is too late to start the first task.
     """
 
     job: JobId
     team: Team
     tasks: Sequence[TaskSpec]
     deadline_s: float
+    start_by_s: float = math.inf
 
 
 @dataclasses.dataclass(slots=True)
