--- a/currantwell/jobs.py
+++ b/currantwell/jobs.py
@@ -258,6 +258,7 @@
         if task.in_doubt:
             task.state, task.code = TaskState.UNKNOWN, ResultCode.UNKNOWN_ATTEMPT_LOST
         task.in_doubt = False
+        task.failures = 0
         job.open_tasks -= 1
 
     def _settle(
@@ -267,6 +268,8 @@
         task.code = record.code
         task.value = record.value
         task.in_doubt = False
+        if state is not TaskState.FAILED:
+            task.failures = 0
         job.open_tasks -= 1
 
     def _cancel(self, job_id: JobId, code: ResultCode) -> None:
