--- a/currantwell/fleet/ownership.py
+++ b/currantwell/fleet/ownership.py
@@ -4,7 +4,8 @@
 agreed. A dispatcher is kept while its process is heard. One that is lost is replaced by
 a host of the same data centre, or by one of another if something of that data centre is
 heard but no host that could serve; a data centre of which nothing is heard is cut off or
-dark, and goes on by itself.
+dark, and goes on by itself. When it is heard again, its hosts come one by one, and its
+owner gets as long as any other to be among them.
 """
 
 import dataclasses
@@ -46,10 +47,12 @@
     def __init__(self, data_centres: Iterable[DataCentre]) -> None:
         self._data_centres = tuple(sorted(data_centres))
         self._began_s: float | None = None
+        self._reached_s: dict[DataCentre, float] = {}
 
     def reset(self) -> None:
         """Begin anew, as a new leader: it has yet to hear the hosts."""
         self._began_s = None
+        self._reached_s = {}
 
     def next(
         self,
@@ -81,11 +84,16 @@
             load[owned.host] = load.get(owned.host, 0) + 1
         changes = []
         reached = {seen.hello.data_centre for seen in fresh.values()}
+        self._reached_s = {
+            data_centre: self._reached_s.get(data_centre, now_s)
+            for data_centre in reached
+        }
         for data_centre in self._data_centres:
             if data_centre not in reached:
                 continue
             owned = owners.get(data_centre)
-            if not settled and not _restarted(owned, fresh):
+            joined = now_s - self._reached_s[data_centre] >= LOST_AFTER_S
+            if not (settled and joined) and not _restarted(owned, fresh):
                 continue
             chosen = self._choose(data_centre, owned, fresh, load, now_s)
             if chosen is not None:
--- a/tests/fleet/test_ownership.py
+++ b/tests/fleet/test_ownership.py
@@ -15,18 +15,28 @@
 
 
 def decide(owners, *sightings, now_s=10.0, began_s=0.0):
+    """Return what the rule decides after it has heard the same hosts for long."""
     rule = OwnershipRule([VALDRES])
-    rule.next(began_s, {}, {})
-    return rule.next(
-        now_s,
-        {owned.data_centre: owned for owned in owners},
-        {seen.hello.host: seen for seen in sightings},
-    )
+    hosts = {seen.hello.host: seen for seen in sightings}
+    known = {owned.data_centre: owned for owned in owners}
+    rule.next(began_s, known, hosts)
+    return rule.next(now_s, known, hosts)
+
+
+def test_an_owner_behind_a_cut_has_time_to_come_back_after_it():
+    rule = OwnershipRule([VALDRES])
+    owned = {VALDRES: an_ownership(1)}
+    rule.next(0.0, owned, {})
+    other = a_sighting(host="valdres-2", last_s=11.0)
+    hosts = {other.hello.host: other}
+    assert not rule.next(10.0, owned, hosts)
+    assert not rule.next(10.0 + LOST_AFTER_S / 2, owned, hosts)
+    assert rule.next(10.0 + 1.1 * LOST_AFTER_S, owned, hosts)
 
 
 def test_the_first_owner_waits_until_all_hosts_had_time_to_come():
     seen = a_sighting(last_s=SETTLE_S)
-    assert not decide([], seen, now_s=SETTLE_S / 2)
+    assert not decide([], seen, now_s=0.9 * SETTLE_S)
     assert decide([], seen, now_s=SETTLE_S) == [an_ownership(1)]
 
 
