--- a/currantwell/dispatch_policies.py
+++ b/currantwell/dispatch_policies.py
@@ -3,6 +3,7 @@
 import random
 
 from .admission import ShortQueueAdmission, TimelyAdmission
+from .aim_ordering import AimOrdering
 from .budgets import TokenBudget
 from .ejection import EvidenceEjection
 from .estimates import LearntEstimates
@@ -62,7 +63,7 @@
     estimates = LearntEstimates()
     policies = Policies(
         TailAwarePlacement(cap_long=False),
-        FairOrdering(None),
+        AimOrdering(),
         ShortQueueAdmission(max_wait_s),
         estimates,
         EvidenceEjection(),
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -460,14 +460,20 @@
 
     def _request(self, job: JobId, submission: Submission) -> JobRequest:
         held = self.table.jobs.get(job)
-        left_s = submission.deadline_s
         start_by_s = math.inf
+        begun_s = now_s()
         if held is not None:
-            left_s = held.deadline_unix_s - self._calendar.unix_s()
+            begun_s -= self._calendar.unix_s() - held.accepted_unix_s
         elif submission.start_within_s is not None:
-            start_by_s = now_s() + submission.start_within_s
+            start_by_s = begun_s + submission.start_within_s
+        aim_s = math.inf if submission.aim_s is None else begun_s + submission.aim_s
         return JobRequest(
-            job, submission.team, submission.tasks, now_s() + left_s, start_by_s
+            job,
+            submission.team,
+            submission.tasks,
+            begun_s + submission.deadline_s,
+            start_by_s,
+            aim_s,
         )
 
     def _answer(self, job_key: JobId) -> Answer | Refusal:
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -2,14 +2,17 @@
 
 import dataclasses
 import enum
-import json
 from typing import Any
 
+import msgspec
 from absl import logging
 
 __all__ = ["Event", "Level", "catalogue"]
 
 
+_encode = msgspec.json.Encoder(enc_hook=str).encode
+
+
 class Level(enum.Enum):
     """How much an event matters."""
 
@@ -42,7 +45,7 @@
     def log(self, **fields: Any) -> None:
         """Write the event with its fields; payloads and secrets have no place here."""
         line = {"event": self.number, "name": self.name, **fields}
-        logging.log(self.level.value, "%s", json.dumps(line, default=str))
+        logging.log(self.level.value, "%s", _encode(line).decode())
 
 
 _CATALOGUE: dict[int, Event] = {}
@@ -222,6 +225,12 @@
     "This host no longer dispatches to a data centre; ground says why.",
 )
 JOB_ROUTED = _event(800, "job_routed", Level.INFO, "A job went to a dispatcher.")
+JOB_RAN = _event(
+    808,
+    "job_ran",
+    Level.INFO,
+    "A dispatcher has ended a job or part of one; where and how each task went.",
+)
 JOB_ANSWERED = _event(801, "job_answered", Level.INFO, "A job's caller got its answer.")
 JOB_REFUSED = _event(
     802, "job_refused", Level.INFO, "A job was refused; nothing of it was started."
--- a/currantwell/fleet/entry_service.py
+++ b/currantwell/fleet/entry_service.py
@@ -77,7 +77,9 @@
             return JobNotRun("this host is about to stop", 1.0)
         now = now_s()
         start_by_s = now + START_BY_SHARE * (deadline_s - now)
-        order = JobOrder(identifier, route.team, tasks, deadline_s, start_by_s)
+        longest_s = max((task.run_time_s or 0.0) for task in tasks)
+        aim_s = now + route.target_s + route.stretch * longest_s
+        order = JobOrder(identifier, route.team, tasks, deadline_s, start_by_s, aim_s)
         self.in_flight += 1
         try:
             return await self._router.run(order)
--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -53,6 +53,8 @@
         When its caller stops waiting, on the runtime's clock.
     start_by_s : float
         When it is to be refused if nothing of it could be started.
+    aim_s : float
+        By when the answer is hoped for.
     """
 
     id: str
@@ -60,6 +62,7 @@
     tasks: Sequence[TaskSpec]
     deadline_s: float
     start_by_s: float
+    aim_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,6 +148,23 @@
             merged.setdefault(data_centre, []).extend(some)
         return [self._take(place, some) for place, some in merged.items()]
 
+    def note_routed(self, order: JobOrder, parts: Sequence[_Part]) -> None:
+        """Log where a job goes, and what was known of the room there."""
+        room = self._links.room()
+        events.JOB_ROUTED.log(
+            job=order.id,
+            parts=[
+                (
+                    part.data_centre,
+                    len(part.tasks),
+                    room[part.data_centre].epoch if part.data_centre in room else None,
+                    room[part.data_centre].free if part.data_centre in room else None,
+                )
+                for part in parts
+            ],
+            start_by_s=round(order.start_by_s - now_s(), 3),
+        )
+
     def submission(self, order: JobOrder, part: _Part) -> Submission:
         """Return a part as a job of its own, under a key that was never used."""
         self._keys += 1
@@ -156,6 +176,7 @@
             part.tasks,
             max(0.001, order.deadline_s - now),
             max(0.0, order.start_by_s - now),
+            order.aim_s - now,
             give_up_early=True,
         )
 
@@ -191,6 +212,7 @@
         if not parts:
             return JobNotRun("no dispatcher is reached", RETRY_AFTER_S)
         self._parts = len(parts)
+        self._router.note_routed(self._order, parts)
         async with trio.open_nursery() as nursery:
             for part in parts:
                 nursery.start_soon(self._run_part, part, nursery.cancel_scope)
--- a/currantwell/fleet/local_dispatch.py
+++ b/currantwell/fleet/local_dispatch.py
@@ -114,20 +114,30 @@
             return JobEnded(
                 request, ResultCode.NOT_RUN_SHUTTING_DOWN, "dispatcher is stopping"
             )
+        job = job_id(submission.team, submission.key)
         try:
             told = await self._dispatcher.submit(submission)
             if isinstance(told, Refusal):
                 return JobEnded(
                     request, told.code, told.detail, told.retry_after_s or 0.0
                 )
-            told = await self._dispatcher.wait(
-                job_id(submission.team, submission.key), submission.deadline_s
-            )
+            told = await self._dispatcher.wait(job, submission.deadline_s)
         except Deposed as error:
             return JobEnded(request, ResultCode.UNKNOWN_OWNER_UNREACHABLE, str(error))
         if isinstance(told, Refusal):
             return JobEnded(request, told.code, told.detail)
-        return JobEnded(request, _code_of(told), _detail_of(told))
+        code = _code_of(told)
+        statuses = await self._dispatcher.tasks(job)
+        assert not isinstance(statuses, Refusal)
+        events.JOB_RAN.log(
+            job=submission.key,
+            epoch=self.ownership.epoch,
+            code=code.name,
+            tasks=[
+                (task.state.value, task.endpoint, task.attempts) for task in statuses
+            ],
+        )
+        return JobEnded(request, code, _detail_of(told))
 
     async def cancel(self, job: JobId) -> None:
         """Stop a job that nobody waits for."""
--- a/currantwell/ordering.py
+++ b/currantwell/ordering.py
@@ -17,7 +17,7 @@
 from .quotas import QuotaSource
 from .waiting import Shape, WaitingTask
 
-__all__ = ["FairOrdering", "FifoOrdering"]
+__all__ = ["FairOrdering", "FifoOrdering", "RankedJob", "size_of"]
 
 RANK_STRETCH = 4.0
 USE_MEMORY_S = 5.0
@@ -30,7 +30,7 @@
 _Stack = tuple[Shape, bool]
 
 
-class _Job:
+class RankedJob:
     """The waiting tasks of a job, in stacks of tasks that are placed alike."""
 
     __slots__ = ("live", "rank", "sequence", "stacks")
@@ -43,7 +43,7 @@
         for task in tasks:
             self.stacks.setdefault((task.shape, task.long), []).append(task)
 
-    def __lt__(self, other: "_Job") -> bool:
+    def __lt__(self, other: "RankedJob") -> bool:
         return (self.rank, self.sequence) < (other.rank, other.sequence)
 
     def candidates(self) -> Iterator[WaitingTask]:
@@ -66,7 +66,7 @@
 class _TeamQueue:
     """The waiting jobs of a team and its recent use."""
 
-    jobs: list[_Job] = dataclasses.field(default_factory=list)
+    jobs: list[RankedJob] = dataclasses.field(default_factory=list)
     use_s: float = 0.0
     at_s: float = 0.0
     share_s: float = math.inf
@@ -107,23 +107,19 @@
         self._stretch = stretch
         self._longest_first = longest_first
         self._teams: dict[Team, _TeamQueue] = {}
-        self._jobs: dict[JobId, list[_Job]] = {}
+        self._jobs: dict[JobId, list[RankedJob]] = {}
         self._sequence = 0
         self._slots = 1
         self._refreshed_s = -math.inf
 
     def add(self, group: Sequence[WaitingTask], now_s: float) -> None:
         """Add tasks of one job."""
-        longest_s = max(task.estimate_s for task in group)
-        work_s = sum(task.estimate_s for task in group)
-        alone_s = max(longest_s, work_s / self._slots)
         ordered = list(reversed(group))
         if self._longest_first:
             ordered.sort(key=_estimate_s)
         self._sequence += 1
-        size_s = math.sqrt(alone_s * work_s)
-        rank = now_s + self._stretch * size_s
-        job = _Job(rank, self._sequence, ordered)
+        rank = now_s + self._stretch * size_of(group, self._slots)
+        job = RankedJob(rank, self._sequence, ordered)
         insort(self._queue(group[0].team).jobs, job)
         self._jobs.setdefault(group[0].job, []).append(job)
 
@@ -202,6 +198,14 @@
             self._teams[team].share_s = max(MIN_USE_S, BURST_SHARES * weight * whole_s)
 
 
+def size_of(group: Sequence[WaitingTask], slots: int) -> float:
+    """Return the size of a job: of its time alone and its work, the geometric mean."""
+    longest_s = max(task.estimate_s for task in group)
+    work_s = sum(task.estimate_s for task in group)
+    alone_s = max(longest_s, work_s / slots)
+    return math.sqrt(alone_s * work_s)
+
+
 class FifoOrdering(FairOrdering):
     """First come, first served."""
 
@@ -213,5 +217,5 @@
     return task.estimate_s
 
 
-def _job_of(pair: tuple[_Job, _TeamQueue]) -> _Job:
+def _job_of(pair: tuple[RankedJob, _TeamQueue]) -> RankedJob:
     return pair[0]
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -146,7 +146,7 @@
         if not attempts:
             return
         self._newest = request.tasks[0]
-        group = JobGroup(request.job, request.team, now_s)
+        group = JobGroup(request.job, request.team, now_s, aim_s=request.aim_s)
         tasks = [
             self._new_task(request, group, index, attempt, now_s)
             for index, attempt in attempts.items()
--- a/currantwell/submission.py
+++ b/currantwell/submission.py
@@ -107,6 +107,8 @@
     start_within_s : float or None
         Seconds from acceptance after which the job is given up if nothing of it was
         started; None for the deadline.
+    aim_s : float or None
+        Seconds from acceptance by which an answer is hoped for.
     give_up_early : bool
         Whether the job is stopped as soon as it is seen to miss the deadline, since
         nobody waits for its answer after it.
@@ -117,6 +119,7 @@
     tasks: tuple[TaskSpec, ...]
     deadline_s: float = 60.0
     start_within_s: float | None = None
+    aim_s: float | None = None
     give_up_early: bool = False
 
 
--- a/currantwell/waiting.py
+++ b/currantwell/waiting.py
@@ -29,6 +29,8 @@
         When it is too late to start a task, on the runtime's clock.
     start_by_s : float
         When it is too late to start the first task.
+    aim_s : float
+        By when the answer is hoped for.
     """
 
     job: JobId
@@ -36,6 +38,7 @@
     tasks: Sequence[TaskSpec]
     deadline_s: float
     start_by_s: float = math.inf
+    aim_s: float = math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,7 +60,9 @@
     longest_s : float
         Estimated run time of its longest task.
     end_s : float
-        When the last of its started tasks is expected to end.
+        When the last of its started tasks is expected to end; 0 if none has started.
+    aim_s : float
+        By when the answer is hoped for.
     """
 
     job: JobId
@@ -67,6 +72,7 @@
     work_s: float = 0.0
     longest_s: float = 0.0
     end_s: float = 0.0
+    aim_s: float = math.inf
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/tests/test_aim_ordering.py
@@ -0,0 +1,57 @@
+"""The order of jobs with an aim: in time before late, started before untouched."""
+
+import math
+
+from currantwell.aim_ordering import AimOrdering
+from currantwell.ids import JobId, Team
+from currantwell.submission import TaskSpec
+from currantwell.waiting import JobGroup, WaitingTask
+
+TEAM = Team("crew")
+
+
+def a_job(name, tasks=1, estimate_s=0.1, aim_s=math.inf, end_s=0.0):
+    group = JobGroup(
+        JobId(name), TEAM, 0.0, longest_s=estimate_s, end_s=end_s, aim_s=aim_s
+    )
+    spec = TaskSpec("work")
+    return [
+        WaitingTask(
+            JobId(name), TEAM, index, 1, spec, math.inf, 0.0, estimate_s, False, group
+        )
+        for index in range(tasks)
+    ]
+
+
+def order(*jobs, now_s=1.0):
+    ordering = AimOrdering()
+    for tasks in jobs:
+        ordering.add(tasks, 0.0)
+    return [task.job for task in ordering.candidates(8, now_s)]
+
+
+def test_a_job_that_can_be_in_time_goes_before_a_late_one():
+    late, timely = a_job("late", aim_s=1.05), a_job("timely", aim_s=1.2)
+    assert order(late, timely) == ["timely", "late"]
+
+
+def test_a_started_job_goes_before_an_untouched_one():
+    assert order(a_job("new"), a_job("old", end_s=1.3)) == ["old", "new"]
+
+
+def test_a_late_started_job_comes_after_a_timely_new_one():
+    assert order(a_job("old", aim_s=1.0, end_s=1.3), a_job("new")) == ["new", "old"]
+
+
+def test_small_jobs_pass_large_ones():
+    assert order(a_job("large", estimate_s=1.0), a_job("small"))[0] == "small"
+
+
+def test_discarded_tasks_are_not_offered():
+    ordering = AimOrdering()
+    tasks = a_job("job", tasks=2)
+    ordering.add(tasks, 0.0)
+    ordering.discard(tasks[0])
+    assert list(ordering.candidates(8, 0.0)) == [tasks[1]]
+    ordering.discard(tasks[1])
+    assert not list(ordering.candidates(8, 0.0))
