--- /dev/null
+++ b/tests/cooperative/test_settings.py
@@ -0,0 +1,45 @@
+"""The platform's settings file."""
+
+import pytest
+
+from cooperative.settings import decode_settings
+from currantwell.errors import SettingsInvalid
+
+TEXT = """node=frontend-valdres-1
+zone=valdres
+zones.valdres=austlandet
+zones.hallingdal=austlandet
+ip_address=10.1.0.13
+listen.frontend=10.1.0.13:8161
+listen.readiness=10.1.0.13:8167
+internal_ports=7720,7735
+seeds=10.1.0.16:8166,10.2.0.31:8166
+bootstrap=true
+bounds.hold_max_ms=1000
+bounds.grace_s=6
+a.key.of.tomorrow=1
+"""
+
+
+def test_a_file_is_decoded_into_words_of_the_product():
+    settings = decode_settings(TEXT)
+    assert settings.host == "frontend-valdres-1"
+    assert settings.data_centres == ("valdres", "hallingdal")
+    assert settings.control_seeds == ("10.1.0.16", "10.2.0.31")
+    assert settings.agreement_address == "10.1.0.13:7720"
+    assert settings.channel_address == "10.1.0.13:7721"
+    assert settings.max_lease_s == 1.0
+    assert settings.first_start
+    assert settings.data_folder is None
+
+
+@pytest.mark.parametrize("key", ["node", "zone", "ip_address", "internal_ports"])
+def test_a_missing_value_is_named(key):
+    lines = [line for line in TEXT.splitlines() if not line.startswith(key + "=")]
+    with pytest.raises(SettingsInvalid, match=key):
+        decode_settings("\n".join(lines))
+
+
+def test_a_number_that_is_none_is_refused():
+    with pytest.raises(SettingsInvalid):
+        decode_settings(TEXT.replace("hold_max_ms=1000", "hold_max_ms=soon"))
--- /dev/null
+++ b/tests/cooperative/test_wire.py
@@ -0,0 +1,162 @@
+"""The platform's bodies: decoded once, and refused if they make no sense."""
+
+import json
+
+import pytest
+
+from cooperative.wire import (
+    decode_configuration,
+    decode_heartbeat,
+    decode_job,
+    order_of,
+    tasks_of,
+)
+from currantwell.errors import InvalidRequest
+from currantwell.submission import RestartRule
+
+ROUTE = {
+    "name": "r-1",
+    "host": "a.example",
+    "path_prefix": "/p/",
+    "service": "board",
+    "timeout_ms": 1500,
+    "target_duration_ms": 60,
+    "priority": 2,
+    "max_attempts": 4,
+    "stretch": 1.6,
+}
+CONFIGURATION = {"version": 7, "routes": [ROUTE], "services": [{"name": "board"}]}
+HEARTBEAT = {
+    "service": "board",
+    "address": "10.1.0.9:8080",
+    "zone": "valdres",
+    "slots": 8,
+    "state": "ready",
+    "sequence": 4,
+    "capacity": {"cpu_millicores": 16000, "memory_request_mb": 32768, "gpus": 0},
+    "labels": ["a", "r1-3"],
+    "born": 1_700_000_000_000,
+}
+JOB = {"task_spec": "text", "best_effort": True, "steps": [{"count": 2}]}
+
+
+def encoded(body, **changes):
+    return json.dumps({**body, **changes}).encode()
+
+
+def test_a_configuration_keeps_the_document_as_sent():
+    body = encoded(CONFIGURATION)
+    configuration = decode_configuration(body)
+    (route,) = configuration.routes
+    assert configuration.source == body
+    assert (configuration.version, route.timeout_s, route.max_failures) == (7, 1.5, 4)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        encoded(CONFIGURATION)[:-20],
+        encoded(CONFIGURATION, routes=[ROUTE, ROUTE]),
+        encoded(CONFIGURATION, routes=[{**ROUTE, "service": "other"}]),
+        encoded(CONFIGURATION, routes=[{**ROUTE, "timeout_ms": 0}]),
+        encoded(CONFIGURATION, version=0),
+        encoded(CONFIGURATION, services=None),
+        b"[" * 4_000_000,
+        b"\xff\xfe",
+        b"",
+    ],
+    ids=[
+        "cut short",
+        "same place",
+        "unknown service",
+        "no timeout",
+        "no version",
+        "no services",
+        "brackets",
+        "no text",
+        "empty",
+    ],
+)
+def test_an_invalid_configuration_is_refused(body):
+    with pytest.raises(InvalidRequest):
+        decode_configuration(body)
+
+
+def test_a_heartbeat_is_a_report():
+    report = decode_heartbeat("i-1", encoded(HEARTBEAT, state="draining"))
+    said = report.announcement
+    assert (said.endpoint, said.url, said.processors) == (
+        "i-1",
+        "http://10.1.0.9:8080",
+        16.0,
+    )
+    assert said.draining
+    assert said.rack == "r1-3"
+    assert report.order() == (1_700_000_000_000, 4)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "dancing"},
+        {"address": "somewhere"},
+        {"capacity": "much"},
+        {"sequence": "four"},
+        {"slots": -1},
+    ],
+    ids=str,
+)
+def test_a_heartbeat_of_another_writer_names_no_worker(changes):
+    with pytest.raises(InvalidRequest):
+        decode_heartbeat("i-1", encoded(HEARTBEAT, **changes))
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        [],
+        [{"count": 0}],
+        [{"count": -3}],
+        [{"count": 10_000_000}],
+        [{"count": 1, "after": [0]}],
+        [{"count": 1, "after": [7]}],
+        [{"count": 1, "cpu_millicores": -1}],
+        "many",
+    ],
+    ids=str,
+)
+def test_a_job_that_makes_no_sense_is_refused(steps):
+    with pytest.raises(InvalidRequest):
+        decode_job(encoded(JOB, steps=steps))
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"best_effort": False},
+        {"long_running": True},
+        {"repeat_count": 3},
+        {"steps": [{"count": 2, "gang_scheduled": True}]},
+        {"steps": [{"count": 2, "required_label": "b"}]},
+        {"steps": [{"count": 2, "max_per_server": 1}]},
+    ],
+    ids=str,
+)
+def test_what_is_not_offered_is_said(changes):
+    assert decode_job(encoded(JOB)).unsupported() is None
+    assert decode_job(encoded(JOB, **changes)).unsupported()
+
+
+def test_steps_run_after_those_that_they_need():
+    steps = [{"count": 1}, {"count": 1, "after": [0]}, {"count": 1}]
+    job = decode_job(encoded(JOB, steps=steps))
+    assert order_of(job.steps) == [[0, 2], [1]]
+
+
+def test_tasks_have_the_names_of_the_platform():
+    (route,) = decode_configuration(encoded(CONFIGURATION)).routes
+    first, second = tasks_of(decode_job(encoded(JOB)), 0, "5c0e", route)
+    assert first.payload == ("5c0e.0.0.0", "text")
+    assert second.payload == ("5c0e.0.0.1", "text")
+    assert first.restart is RestartRule.IF_OVER
+    assert (first.pool, first.max_failures) == ("board", 4)
--- /dev/null
+++ b/tests/fleet/test_job_router.py
@@ -0,0 +1,148 @@
+"""The router: parts, refusals that are true, and what is sent again."""
+
+import pytest
+import trio
+
+from currantwell.codes import ResultCode
+from currantwell.fleet.job_router import (
+    LAPSE_S,
+    JobDone,
+    JobFailed,
+    JobIncomplete,
+    JobNotRun,
+    JobOrder,
+    JobRouter,
+)
+from currantwell.fleet.messages import DispatcherTold, JobEnded
+from currantwell.ids import DataCentre, Epoch, Team
+from currantwell.submission import TaskSpec
+
+HOME, AWAY = DataCentre("valdres"), DataCentre("hallingdal")
+
+
+class Links:
+    """Dispatchers with so much room that answer as they are told."""
+
+    def __init__(self, **free):
+        self.free = free
+        self.sent = []
+        self.codes = []
+        self.cancelled = 0
+        self.run_s = 0.1
+
+    def room(self):
+        return {
+            place: DispatcherTold(DataCentre(place), Epoch(1), True, free, 8)
+            for place, free in self.free.items()
+        }
+
+    def note_placed(self, place, tasks):
+        self.free[place] -= tasks
+
+    async def run_job(self, place, submission):
+        self.sent.append((place, len(submission.tasks), trio.current_time()))
+        code = self.codes.pop(0) if self.codes else ResultCode.COMPLETE
+        try:
+            await trio.sleep(self.run_s)
+        except trio.Cancelled:
+            self.cancelled += 1
+            raise
+        return JobEnded(1, code)
+
+
+async def run(links, tasks=4, deadline_s=1.5, start_by_s=0.6):
+    now = trio.current_time()
+    order = JobOrder(
+        "5c0e",
+        Team("crew"),
+        [TaskSpec("crew")] * tasks,
+        now + deadline_s,
+        now + start_by_s,
+        now + 0.3,
+    )
+    return await JobRouter(HOME, links).run(order)
+
+
+def places(links):
+    return [(place, count) for place, count, _ in links.sent]
+
+
+async def test_the_home_dispatcher_is_asked_first(autojump_clock):
+    links = Links(valdres=4, hallingdal=8)
+    assert await run(links) == JobDone()
+    assert places(links) == [(HOME, 4)]
+
+
+async def test_another_one_with_room_for_all_comes_next(autojump_clock):
+    links = Links(valdres=3, hallingdal=8)
+    assert await run(links) == JobDone()
+    assert places(links) == [(AWAY, 4)]
+
+
+async def test_a_job_is_split_where_no_one_has_room_for_all(autojump_clock):
+    links = Links(valdres=2, hallingdal=3)
+    assert await run(links, tasks=5) == JobDone()
+    assert sorted(places(links)) == [(AWAY, 3), (HOME, 2)]
+
+
+async def test_a_failed_part_ends_the_others(autojump_clock):
+    links = Links(valdres=2, hallingdal=2)
+    links.codes = [ResultCode.JOB_FAILED, ResultCode.COMPLETE]
+    assert isinstance(await run(links), JobFailed)
+
+
+async def test_refused_everywhere_has_not_run(autojump_clock):
+    links = Links(valdres=4)
+    links.codes = [ResultCode.NOT_RUN_OVERLOADED] * 10
+    outcome = await run(links)
+    assert isinstance(outcome, JobNotRun)
+    assert outcome.retry_after_s > 0
+
+
+async def test_a_refused_part_beside_a_started_one_is_no_refusal(autojump_clock):
+    links = Links(valdres=2, hallingdal=2)
+    links.codes = [ResultCode.NOT_RUN_OVERLOADED, ResultCode.COMPLETE] + [
+        ResultCode.NOT_RUN_OVERLOADED
+    ] * 10
+    assert isinstance(await run(links), JobIncomplete)
+
+
+async def test_a_lost_dispatcher_s_part_is_sent_again_once_leases_ran_out(
+    autojump_clock,
+):
+    links = Links(valdres=4, hallingdal=4)
+    links.codes = [ResultCode.UNKNOWN_OWNER_UNREACHABLE]
+    assert await run(links) == JobDone()
+    first, second = (sent_s for _, _, sent_s in links.sent)
+    assert second - first >= LAPSE_S
+
+
+async def test_a_refusal_after_a_lost_dispatcher_is_not_told_as_one(autojump_clock):
+    links = Links(valdres=4)
+    links.codes = [ResultCode.UNKNOWN_OWNER_UNREACHABLE] + [
+        ResultCode.NOT_RUN_OVERLOADED
+    ] * 10
+    assert isinstance(await run(links), JobIncomplete)
+
+
+async def test_the_deadline_stops_all_parts(autojump_clock):
+    links = Links(valdres=2, hallingdal=2)
+    links.run_s = 9.0
+    assert isinstance(await run(links), JobIncomplete)
+    assert links.cancelled == 2
+
+
+@pytest.mark.parametrize("comes_after_s", [0.3, 5.0])
+async def test_a_job_waits_a_while_for_a_dispatcher(
+    autojump_clock, nursery, comes_after_s
+):
+    links = Links()
+
+    async def come():
+        await trio.sleep(comes_after_s)
+        links.free["valdres"] = 8
+
+    nursery.start_soon(come)
+    outcome = await run(links)
+    assert isinstance(outcome, JobDone if comes_after_s < 0.6 else JobNotRun)
+    nursery.cancel_scope.cancel()
