--- a/currantwell/fleet/channel.py
+++ b/currantwell/fleet/channel.py
@@ -3,8 +3,8 @@
 A frame is a length and a MessagePack message. What is sent while a write is under way
 goes out with the next one. A channel that carries nothing for a while is closed, since
 an open connection may have gone silent for good while new ones work. Plain TCP in place
-of `pynng`, which hides the end of a connection: a host that was killed has to be noticed
-at once.
+of `pynng`, which hides the end of a connection: a host that was killed has to be
+noticed at once.
 """
 
 from collections.abc import AsyncIterator
@@ -67,7 +67,7 @@
         buffer = bytearray()
         try:
             while not self.closed:
-                data = b""
+                data: bytes | bytearray = b""
                 with trio.move_on_after(SILENCE_S):
                     data = await self._stream.receive_some(RECEIVE_BYTES)
                 if not data:
--- a/currantwell/fleet/dispatcher_links.py
+++ b/currantwell/fleet/dispatcher_links.py
@@ -15,6 +15,7 @@
 from ..codes import ResultCode
 from ..ids import DataCentre, HostId, job_id
 from ..kernel import ServiceName
+from ..metrics import HostLoad
 from ..submission import Submission
 from .channel import Channel, open_channel
 from .fleet_state import Ownership
@@ -116,6 +117,14 @@
             for local in list(self._local.values()):
                 nursery.start_soon(local.drain)
 
+    def load(self) -> HostLoad:
+        """Return what there is to do for the data centres dispatched to here."""
+        loads = [local.load() for local in self._local.values()]
+        fields = [field.name for field in dataclasses.fields(HostLoad)]
+        return HostLoad(
+            *(sum(getattr(load, field) for load in loads) for field in fields)
+        )
+
     # What the router asks.
 
     def room(self) -> dict[DataCentre, DispatcherTold]:
--- a/currantwell/fleet/entry_service.py
+++ b/currantwell/fleet/entry_service.py
@@ -5,6 +5,7 @@
 from .. import events
 from ..clock import now_s
 from ..ids import Team
+from ..metrics import Metrics, Timing
 from ..submission import TaskSpec
 from .dispatcher_links import DispatcherLinks
 from .fleet_view import FleetView
@@ -34,10 +35,16 @@
         Reaches the dispatchers.
     router : JobRouter
         Runs jobs.
+    metrics : Metrics
+        Counts answers and times them.
     """
 
     def __init__(
-        self, view: FleetView, links: DispatcherLinks, router: JobRouter
+        self,
+        view: FleetView,
+        links: DispatcherLinks,
+        router: JobRouter,
+        metrics: Metrics,
     ) -> None:
         self.draining = False
         self.closing = False
@@ -45,6 +52,7 @@
         self._view = view
         self._links = links
         self._router = router
+        self._metrics = metrics
 
     @property
     def configured(self) -> bool:
@@ -91,6 +99,8 @@
     ) -> None:
         """Log what a caller is told."""
         after_s = round(now_s() - arrived_s, 3)
+        self._metrics.answered(type(outcome).__name__)
+        self._metrics.observe(Timing.JOB_RESPONSE, now_s() - arrived_s)
         fields = {"job": identifier, "team": team, "after_s": after_s}
         if isinstance(outcome, JobDone):
             events.JOB_ANSWERED.log(**fields)
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -150,30 +150,39 @@
         match message:
             case ConfigurationTold(configuration):
                 self._follow_configuration(configuration)
-                return
-            case HostsTold(hosts):
-                self._hosts[channel] = {hello.host: hello for hello in hosts}
             case ControlHostsTold(addresses):
                 self._addresses.update(addresses)
                 self._new_address.set()
-                return
-            case OwnershipsTold(ownerships):
-                for owned in ownerships:
-                    known = self._ownerships.get(owned.data_centre)
-                    if known is None or owned.epoch > known.epoch:
-                        self._ownerships[owned.data_centre] = owned
-            case EndpointsTold(reports):
-                for report in reports:
-                    self._take_report(report)
             case EndpointsHeard(endpoints):
-                for endpoint in endpoints:
-                    if endpoint in self.endpoints:
-                        self.endpoints[endpoint].heard_s = now_s()
-                return
-            case EndpointsGone(endpoints):
-                for endpoint in endpoints:
-                    self.endpoints.pop(endpoint, None)
-        self.changed()
+                self._note_heard(endpoints)
+            case HostsTold(hosts):
+                self._hosts[channel] = {hello.host: hello for hello in hosts}
+                self.changed()
+            case OwnershipsTold(ownerships):
+                self._take_ownerships(ownerships)
+                self.changed()
+            case EndpointsTold() | EndpointsGone():
+                self._take_endpoints(message)
+                self.changed()
+
+    def _note_heard(self, endpoints: Iterable[EndpointId]) -> None:
+        for endpoint in endpoints:
+            if endpoint in self.endpoints:
+                self.endpoints[endpoint].heard_s = now_s()
+
+    def _take_ownerships(self, ownerships: Iterable[Ownership]) -> None:
+        for owned in ownerships:
+            known = self._ownerships.get(owned.data_centre)
+            if known is None or owned.epoch > known.epoch:
+                self._ownerships[owned.data_centre] = owned
+
+    def _take_endpoints(self, message: EndpointsTold | EndpointsGone) -> None:
+        if isinstance(message, EndpointsTold):
+            for report in message.reports:
+                self._take_report(report)
+        else:
+            for endpoint in message.endpoints:
+                self.endpoints.pop(endpoint, None)
 
     def _take_report(self, report: EndpointReport) -> None:
         endpoint = report.announcement.endpoint
--- a/currantwell/fleet/local_dispatch.py
+++ b/currantwell/fleet/local_dispatch.py
@@ -13,6 +13,7 @@
 from ..dispatcher import Dispatcher
 from ..errors import Deposed
 from ..ids import DataCentre, EndpointId, Incarnation, JobId, job_id
+from ..metrics import HostLoad
 from ..submission import Submission
 from .fleet_state import Ownership
 from .fleet_view import FleetView
@@ -95,6 +96,10 @@
         self.serving = False
         await self._dispatcher.drain()
 
+    def load(self) -> HostLoad:
+        """Return what there is to do."""
+        return self._dispatcher.load()
+
     def told(self) -> DispatcherTold:
         """Return how much room there is."""
         room = self._dispatcher.room()
--- a/currantwell/fleet/ownership.py
+++ b/currantwell/fleet/ownership.py
@@ -3,9 +3,9 @@
 No I/O and no clock: the caller says who is heard and when, and has what comes back
 agreed. A dispatcher is kept while its process is heard. One that is lost is replaced by
 a host of the same data centre, or by one of another if something of that data centre is
-heard but no host that could serve; a data centre of which nothing is heard is cut off or
-dark, and goes on by itself. When it is heard again, its hosts come one by one, and its
-owner gets as long as any other to be among them.
+heard but no host that could serve; a data centre of which nothing is heard is cut off
+or dark, and goes on by itself. When it is heard again, its hosts come one by one, and
+its owner gets as long as any other to be among them.
 """
 
 import dataclasses
@@ -80,8 +80,8 @@
             if now_s - seen.last_s <= LOST_AFTER_S
         }
         load: dict[HostId, int] = {}
-        for owned in owners.values():
-            load[owned.host] = load.get(owned.host, 0) + 1
+        for held in owners.values():
+            load[held.host] = load.get(held.host, 0) + 1
         changes = []
         reached = {seen.hello.data_centre for seen in fresh.values()}
         self._reached_s = {
@@ -144,8 +144,9 @@
 
 def _restarted(owned: Ownership | None, fresh: Mapping[HostId, Sighting]) -> bool:
     """Tell whether the owner's host is heard, but with another process."""
-    seen = fresh.get(owned.host) if owned is not None else None
-    return seen is not None and seen.hello.incarnation != owned.incarnation
+    if owned is None or owned.host not in fresh:
+        return False
+    return fresh[owned.host].hello.incarnation != owned.incarnation
 
 
 def _process(
--- a/currantwell/http_server.py
+++ b/currantwell/http_server.py
@@ -45,13 +45,18 @@
         Bound sockets.
     graceful_s : float
         How long requests in progress may take after `drain`.
+    name : str
+        The name of the service.
     """
 
-    name = ServiceName("http")
-
     def __init__(
-        self, app: AsgiApp, *listeners: socket.socket, graceful_s: float = 30.0
+        self,
+        app: AsgiApp,
+        *listeners: socket.socket,
+        graceful_s: float = 30.0,
+        name: str = "http",
     ) -> None:
+        self.name = ServiceName(name)
         self._app = app
         self.address: tuple[str, int] = listeners[0].getsockname()
         self._stop = trio.Event()
--- a/currantwell/job_log.py
+++ b/currantwell/job_log.py
@@ -140,7 +140,7 @@
         return 0.0
 
     async def confirm(self) -> None:
-        """A refusal speaks for this dispatcher alone."""
+        """Return at once: a refusal speaks for this dispatcher alone."""
 
     async def commit(self, records: Sequence[Record]) -> None:
         """Return at once."""
--- a/currantwell/metrics.py
+++ b/currantwell/metrics.py
@@ -122,6 +122,7 @@
     def __init__(self) -> None:
         self._series = {timing: _Series() for timing in Timing}
         self._refusals: collections.Counter[ResultCode] = collections.Counter()
+        self._answers: collections.Counter[str] = collections.Counter()
 
     def observe(self, timing: Timing, time_s: float) -> None:
         """Add a time, in seconds."""
@@ -131,6 +132,10 @@
         """Count a refusal."""
         self._refusals[code] += 1
 
+    def answered(self, outcome: str) -> None:
+        """Count an answer by what became of its job."""
+        self._answers[outcome] += 1
+
     def rotate(self) -> None:
         """Begin a new window of all quantiles."""
         for series in self._series.values():
@@ -144,6 +149,11 @@
             f'currantwell_refusals_total{{code="{code.name}"}} {count}'
             for code, count in sorted(self._refusals.items())
         )
+        lines.extend(_heading("answers_total", "counter", "Answers by outcome."))
+        lines.extend(
+            f'currantwell_answers_total{{outcome="{outcome}"}} {count}'
+            for outcome, count in sorted(self._answers.items())
+        )
         for name, kind, meaning, value in _load_figures(load):
             lines.extend(_heading(name, kind, meaning))
             lines.append(f"currantwell_{name} {value}")
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -256,10 +256,10 @@
 
     def _untouched(self, job: JobId) -> bool:
         """Tell whether a job waits and nothing of it was ever placed."""
-        waiting = self._waiting.get(job)
+        waiting = self._waiting.get(job, {}).values()
         return bool(waiting) and all(
             task.attempt <= 1 and (task.group is None or not task.group.end_s)
-            for task in waiting.values()
+            for task in waiting
         )
 
     def stragglers(self, now_s: float) -> list[AttemptRef]:
