Divide large data centres into groups with a dispatcher each; test the real programs

Change: an ownership names a group of endpoints; how many groups a data centre has is settled with its first dispatchers, a third of its entry hosts, the largest ones. As many control hosts vote as the loss of the disks asked for needs. A refused job is tried again until its time to start is over. Tests run the real programs over loopback against stand-in workers: kills, drains, lost disks, races of versions.

--- a/currantwell/fleet/channel.py
+++ b/currantwell/fleet/channel.py
@@ -16,7 +16,7 @@
 from ..clock import now_s
 from .messages import Message, Ping
 
-__all__ = ["Channel", "open_channel"]
+__all__ = ["Channel", "encode", "open_channel"]
 
 # A fifth of the silence allowed, so that a few late ones do no harm.
 PING_S = 0.15
@@ -57,6 +57,11 @@
         if not self.closed:
             self._queue(_encoder.encode(message))
 
+    def send_encoded(self, body: bytes) -> None:
+        """Queue a message that `encode` returned, for one of many receivers."""
+        if not self.closed:
+            self._queue(body)
+
     def close(self) -> None:
         """End the channel."""
         self.closed = True
@@ -133,6 +138,11 @@
     return frames
 
 
+def encode(message: Message) -> bytes:
+    """Return a message as `Channel.send_encoded` takes it."""
+    return _encoder.encode(message)
+
+
 async def open_channel(address: str) -> Channel | None:
     """Connect to ``IP:port``; return None if that fails."""
     host, _, port = address.rpartition(":")
--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -14,9 +14,9 @@
 from ..agreement import Agreement
 from ..clock import now_s
 from ..errors import AgreementLost
-from ..ids import DataCentre, EndpointId, HostId
+from ..ids import EndpointId, HostId
 from ..kernel import ServiceName
-from .channel import Channel, open_channel
+from .channel import Channel, encode, open_channel
 from .endpoint_registry import EndpointRegistry, Hint
 from .fleet_state import FleetState, PutConfiguration, SetOwner, encode_command
 from .messages import (
@@ -245,8 +245,9 @@
     # What entry hosts are told.
 
     def _tell(self, message: Message) -> None:
+        body = encode(message)
         for channel in self._channels:
-            channel.send(message)
+            channel.send_encoded(body)
 
     def _tell_all(self, channel: Channel) -> None:
         channel.send(self._control_hosts())
@@ -291,11 +292,13 @@
             if self._agreement.leader != self._hello.host:
                 self._rule.reset()
                 continue
-            owners = {owned.data_centre: owned for owned in self._state.ownerships}
-            for ownership in self._rule.next(now_s(), owners, self._sightings):
-                await self._set_owner(ownership.data_centre, SetOwner(ownership))
+            owners = {owned.group: owned for owned in self._state.ownerships}
+            changes = self._rule.next(now_s(), owners, self._sightings)
+            async with trio.open_nursery() as proposals:
+                for ownership in changes:
+                    proposals.start_soon(self._set_owner, SetOwner(ownership))
 
-    async def _set_owner(self, data_centre: DataCentre, command: SetOwner) -> None:
+    async def _set_owner(self, command: SetOwner) -> None:
         owned = command.ownership
         try:
             result = await self._agreement.propose(
@@ -305,7 +308,7 @@
             events.AGREEMENT_LOST.log(what="owner", error=str(error))
             return
         events.OWNER_SET.log(
-            data_centre=data_centre,
+            group=str(owned.group),
             epoch=owned.epoch,
             host=owned.host,
             incarnation=owned.incarnation,
--- a/currantwell/fleet/dispatcher_links.py
+++ b/currantwell/fleet/dispatcher_links.py
@@ -13,13 +13,14 @@
 
 from ..clock import now_s
 from ..codes import ResultCode
-from ..ids import DataCentre, HostId, job_id
+from ..ids import HostId, job_id
 from ..kernel import ServiceName
 from ..metrics import HostLoad
 from ..submission import Submission
-from .channel import Channel, open_channel
+from .channel import Channel, encode, open_channel
 from .fleet_state import Ownership
 from .fleet_view import FleetView
+from .groups import EndpointGroup
 from .local_dispatch import LocalDispatch
 from .messages import (
     CancelJob,
@@ -84,9 +85,9 @@
         self._hello = hello
         self._view = view
         self._make_local = make_local
-        self._local: dict[DataCentre, LocalDispatch] = {}
+        self._local: dict[EndpointGroup, LocalDispatch] = {}
         self._remote: dict[str, _RemoteHost] = {}
-        self._told: dict[DataCentre, tuple[float, DispatcherTold]] = {}
+        self._told: dict[EndpointGroup, tuple[float, DispatcherTold]] = {}
         self._waiters: dict[Channel | None, dict[int, _Waiter]] = {None: {}}
         self._requests = 0
         self._accepted: set[Channel] = set()
@@ -127,44 +128,40 @@
 
     # What the router asks.
 
-    def room(self) -> dict[DataCentre, DispatcherTold]:
+    def room(self) -> dict[EndpointGroup, DispatcherTold]:
         """Return what each dispatcher that can be reached last told of its room."""
         now = now_s()
         told = {
-            data_centre: said
-            for data_centre, (told_s, said) in self._told.items()
-            if now - told_s < TOLD_FOR_S
-            and said.serving
-            and self._reaches(data_centre, said)
+            group: said
+            for group, (told_s, said) in self._told.items()
+            if now - told_s < TOLD_FOR_S and said.serving and self._reaches(group, said)
         }
-        for data_centre, local in self._local.items():
+        for group, local in self._local.items():
             if local.serving:
-                told[data_centre] = local.told()
+                told[group] = local.told()
         return told
 
-    def note_placed(self, data_centre: DataCentre, tasks: int) -> None:
+    def note_placed(self, group: EndpointGroup, tasks: int) -> None:
         """Count tasks that were just handed to a dispatcher as taking room."""
-        entry = self._told.get(data_centre)
+        entry = self._told.get(group)
         if entry is not None:
             told_s, said = entry
             left = msgspec.structs.replace(said, free=max(0, said.free - tasks))
-            self._told[data_centre] = (told_s, left)
+            self._told[group] = (told_s, left)
 
-    async def run_job(
-        self, data_centre: DataCentre, submission: Submission
-    ) -> JobEnded:
+    async def run_job(self, group: EndpointGroup, submission: Submission) -> JobEnded:
         """Have a dispatcher run a job; cancelling the call stops the job."""
         self._requests += 1
         request = self._requests
-        local = self._local.get(data_centre)
+        local = self._local.get(group)
         if local is not None:
             return await self._run_local(local, request, submission)
-        channel = self._channel(data_centre)
+        channel = self._channel(group)
         if channel is None:
             return JobEnded(
                 request, ResultCode.NOT_RUN_NO_PRIMARY, "no dispatcher is reached"
             )
-        return await self._run_remote(channel, data_centre, request, submission)
+        return await self._run_remote(channel, group, request, submission)
 
     async def _run_local(
         self, local: LocalDispatch, request: int, submission: Submission
@@ -182,7 +179,7 @@
     async def _run_remote(
         self,
         channel: Channel,
-        data_centre: DataCentre,
+        group: EndpointGroup,
         request: int,
         submission: Submission,
     ) -> JobEnded:
@@ -192,7 +189,7 @@
         waiter = _Waiter(trio.Event(), unknown)
         waiters = self._waiters.setdefault(channel, {})
         waiters[request] = waiter
-        channel.send(RunJob(request, data_centre, submission))
+        channel.send(RunJob(request, group, submission))
         try:
             await waiter.ended.wait()
         finally:
@@ -209,14 +206,14 @@
     def _follow_ownerships(self, nursery: trio.Nursery) -> None:
         own = self._hello
         for owned in self._view.ownerships:
-            local = self._local.get(owned.data_centre)
+            local = self._local.get(owned.group)
             if local is not None and local.ownership != owned:
                 local.close()
-                del self._local[owned.data_centre]
+                del self._local[owned.group]
                 local = None
             if (owned.host, owned.incarnation) == (own.host, own.incarnation):
                 if local is None and not self._draining:
-                    local = self._local[owned.data_centre] = self._make_local(owned)
+                    local = self._local[owned.group] = self._make_local(owned)
                     nursery.start_soon(local.run)
                 continue
             address = self._view.address_of(owned)
@@ -224,9 +221,9 @@
                 remote = self._remote[address] = _RemoteHost(owned.host, address)
                 nursery.start_soon(self._dial_loop, remote)
 
-    def _channel(self, data_centre: DataCentre) -> Channel | None:
+    def _channel(self, group: EndpointGroup) -> Channel | None:
         """Return the channel to the owner, also while no control host hears it."""
-        owned = self._view.owner(data_centre)
+        owned = self._view.owner(group)
         if owned is None:
             return None
         for remote in self._remote.values():
@@ -234,8 +231,8 @@
                 return remote.channel
         return None
 
-    def _reaches(self, data_centre: DataCentre, said: DispatcherTold) -> bool:
-        channel = self._channel(data_centre)
+    def _reaches(self, group: EndpointGroup, said: DispatcherTold) -> bool:
+        channel = self._channel(group)
         return channel is not None and not channel.closed
 
     # Channels to dispatchers.
@@ -260,9 +257,9 @@
     def _take(self, channel: Channel, message: Message) -> None:
         match message:
             case DispatcherTold():
-                known = self._told.get(message.data_centre)
+                known = self._told.get(message.group)
                 if known is None or message.epoch >= known[1].epoch:
-                    self._told[message.data_centre] = (now_s(), message)
+                    self._told[message.group] = (now_s(), message)
             case JobEnded():
                 waiter = self._waiters.get(channel, {}).get(message.request)
                 if waiter is not None:
@@ -295,7 +292,7 @@
         self, channel: Channel, message: RunJob, scopes: dict[int, trio.CancelScope]
     ) -> None:
         """Run a job for another host; it is stopped when that host is lost."""
-        local = self._local.get(message.data_centre)
+        local = self._local.get(message.group)
         if local is None:
             ended = JobEnded(
                 message.request,
@@ -314,17 +311,18 @@
                 del scopes[message.request]
 
     async def _tell_loop(self) -> None:
-        last: dict[DataCentre, DispatcherTold] = {}
-        sent_s: dict[DataCentre, float] = {}
+        last: dict[EndpointGroup, DispatcherTold] = {}
+        sent_s: dict[EndpointGroup, float] = {}
         while True:
             await trio.sleep(TELL_INTERVAL_S)
             fresh = {place: local.told() for place, local in self._local.items()}
             now = now_s()
-            for data_centre, said in fresh.items():
-                before = last.get(data_centre)
-                if before == said and now - sent_s.get(data_centre, 0.0) < REPEAT_S:
+            for group, said in fresh.items():
+                before = last.get(group)
+                if before == said and now - sent_s.get(group, 0.0) < REPEAT_S:
                     continue
-                sent_s[data_centre] = now
+                sent_s[group] = now
+                body = encode(said)
                 for channel in self._accepted:
-                    channel.send(said)
+                    channel.send_encoded(body)
             last = fresh
--- a/currantwell/fleet/fleet_state.py
+++ b/currantwell/fleet/fleet_state.py
@@ -1,7 +1,7 @@
 """What control hosts agree on: the configuration and who dispatches where.
 
 Invariants: the configuration in force never goes to a lower version, and the content
-of a version never changes; the epoch of a data centre counts up by one with each new
+of a version never changes; the epoch of a group counts up by one with each new
 dispatcher, so that endpoints refuse the orders of earlier ones.
 """
 
@@ -9,28 +9,29 @@
 
 import msgspec
 
-from ..ids import DataCentre, Epoch, HostId, Incarnation
+from ..ids import Epoch, HostId, Incarnation
+from .groups import EndpointGroup
 from .routes import NO_CONFIGURATION, Configuration
 
 __all__ = ["FleetState", "Ownership", "PutConfiguration", "SetOwner", "encode_command"]
 
 
 class Ownership(msgspec.Struct, frozen=True):
-    """Which process dispatches to the endpoints of a data centre.
+    """Which process dispatches to a group of endpoints.
 
     Parameters
     ----------
-    data_centre : DataCentre
-        The data centre.
+    group : EndpointGroup
+        The endpoints.
     epoch : Epoch
-        Counts the dispatchers of the data centre, from 1.
+        Counts the dispatchers of the group, from 1.
     host : HostId
         The entry host.
     incarnation : Incarnation
         The process there; a restarted one needs an ownership of its own.
     """
 
-    data_centre: DataCentre
+    group: EndpointGroup
     epoch: Epoch
     host: HostId
     incarnation: Incarnation
@@ -43,7 +44,7 @@
 
 
 class SetOwner(msgspec.Struct, frozen=True, tag="owner"):
-    """Name the next dispatcher of a data centre; only the next epoch counts."""
+    """Name the next dispatcher of a group; only the next epoch counts."""
 
     ownership: Ownership
 
@@ -84,16 +85,16 @@
     def __init__(self) -> None:
         self.configuration = NO_CONFIGURATION
         self.changed: Callable[[], None] = lambda: None
-        self._ownerships: dict[DataCentre, Ownership] = {}
+        self._ownerships: dict[EndpointGroup, Ownership] = {}
 
     @property
     def ownerships(self) -> Iterable[Ownership]:
-        """The newest ownership of each data centre."""
+        """The newest ownership of each group."""
         return self._ownerships.values()
 
-    def owner(self, data_centre: DataCentre) -> Ownership | None:
-        """Return who dispatches to a data centre, if anyone does."""
-        return self._ownerships.get(data_centre)
+    def owner(self, group: EndpointGroup) -> Ownership | None:
+        """Return who dispatches to a group, if anyone does."""
+        return self._ownerships.get(group)
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Carry out a command and tell whether it took effect."""
@@ -103,10 +104,10 @@
                 if taken:
                     self.configuration = configuration
             case SetOwner(ownership):
-                known = self._ownerships.get(ownership.data_centre)
+                known = self._ownerships.get(ownership.group)
                 taken = ownership.epoch == (known.epoch if known else 0) + 1
                 if taken:
-                    self._ownerships[ownership.data_centre] = ownership
+                    self._ownerships[ownership.group] = ownership
         self.changed()
         return TAKEN if taken else PASSED_OVER
 
@@ -119,5 +120,5 @@
         """Put the state of a snapshot in the place of this one."""
         image = _image_decoder.decode(data)
         self.configuration = image.configuration
-        self._ownerships = {owned.data_centre: owned for owned in image.ownerships}
+        self._ownerships = {owned.group: owned for owned in image.ownerships}
         self.changed()
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -1,7 +1,7 @@
 """What an entry host knows of the fleet, told by the control hosts.
 
 Invariants: the configuration never goes back to a lower version within one life of the
-process, and of two ownerships of a data centre the one with the higher epoch counts,
+process, and of two ownerships of a group the one with the higher epoch counts,
 whichever control host tells.
 """
 
@@ -11,10 +11,11 @@
 
 from .. import events
 from ..clock import now_s
-from ..ids import DataCentre, EndpointId, HostId
+from ..ids import EndpointId, HostId
 from ..kernel import ServiceName
 from .channel import Channel, open_channel
 from .fleet_state import Ownership
+from .groups import EndpointGroup
 from .messages import (
     ConfigurationTold,
     ControlHostsTold,
@@ -70,7 +71,7 @@
         self.endpoints: dict[EndpointId, KnownEndpointReport] = {}
         self._hello = hello
         self._routes = RouteTable()
-        self._ownerships: dict[DataCentre, Ownership] = {}
+        self._ownerships: dict[EndpointGroup, Ownership] = {}
         self._hosts: dict[Channel, dict[HostId, HostHello]] = {}
         self._addresses = set(seeds)
         self._new_address = trio.Event()
@@ -82,12 +83,12 @@
 
     @property
     def ownerships(self) -> Iterable[Ownership]:
-        """The newest ownership of each data centre."""
+        """The newest ownership of each group."""
         return self._ownerships.values()
 
-    def owner(self, data_centre: DataCentre) -> Ownership | None:
-        """Return who dispatches to a data centre, if anyone does."""
-        return self._ownerships.get(data_centre)
+    def owner(self, group: EndpointGroup) -> Ownership | None:
+        """Return who dispatches to a group, if anyone does."""
+        return self._ownerships.get(group)
 
     def address_of(self, ownership: Ownership) -> str | None:
         """Return where the owner accepts channels, if its process is heard."""
@@ -172,9 +173,9 @@
 
     def _take_ownerships(self, ownerships: Iterable[Ownership]) -> None:
         for owned in ownerships:
-            known = self._ownerships.get(owned.data_centre)
+            known = self._ownerships.get(owned.group)
             if known is None or owned.epoch > known.epoch:
-                self._ownerships[owned.data_centre] = owned
+                self._ownerships[owned.group] = owned
 
     def _take_endpoints(self, message: EndpointsTold | EndpointsGone) -> None:
         if isinstance(message, EndpointsTold):
--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import random
 from collections.abc import Sequence
 
 import trio
@@ -17,6 +18,7 @@
 from ..ids import KEY_SEPARATOR, DataCentre, JobKey, Team
 from ..submission import Submission, TaskSpec
 from .dispatcher_links import DispatcherLinks
+from .groups import EndpointGroup
 from .messages import DispatcherTold
 
 __all__ = [
@@ -34,7 +36,8 @@
 RETRY_AFTER_S = 1.0
 # While there is no dispatcher for a moment a job waits no longer than this.
 NO_DISPATCHER_PAUSE_S = 0.02
-MAX_SENDS = 4
+# Half of the shortest tasks seen: room may have come by then.
+REFUSED_PAUSE_S = 0.025
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,7 +102,7 @@
 class _Part:
     """Tasks of a job for one dispatcher."""
 
-    data_centre: DataCentre
+    group: EndpointGroup
     tasks: tuple[TaskSpec, ...]
 
 
@@ -117,6 +120,8 @@
     def __init__(self, home: DataCentre, links: DispatcherLinks) -> None:
         self._home = home
         self._links = links
+        self._random = random.Random()
+        self._nonce = f"{self._random.getrandbits(24):06x}."
         self._keys = 0
 
     async def run(self, order: JobOrder) -> Outcome:
@@ -127,26 +132,22 @@
 
     def split(self, tasks: Sequence[TaskSpec]) -> list[_Part]:
         """Divide tasks among the dispatchers with room; empty if there is none."""
-        room = self._links.room()
+        room = {group: told for group, told in self._links.room().items() if told.slots}
         if not room:
             return []
         whole = self._place_for(len(tasks), room)
         if whole is not None:
             return [self._take(whole, tasks)]
-        parts = []
+        parts: dict[EndpointGroup, list[TaskSpec]] = {}
         left = list(tasks)
-        order = sorted(room.values(), key=lambda told: -told.free)
-        for told in order:
+        for told in sorted(room.values(), key=lambda told: -told.free):
             if told.free > 0 and left:
-                parts.append((told.data_centre, left[: told.free]))
+                parts[told.group] = left[: told.free]
                 del left[: told.free]
         if left:
-            shortest = min(room.values(), key=_wait_s).data_centre
-            parts.append((shortest, left))
-        merged: dict[DataCentre, list[TaskSpec]] = {}
-        for data_centre, some in parts:
-            merged.setdefault(data_centre, []).extend(some)
-        return [self._take(place, some) for place, some in merged.items()]
+            shortest = min(room.values(), key=self._wait_s).group
+            parts.setdefault(shortest, []).extend(left)
+        return [self._take(place, some) for place, some in parts.items()]
 
     def note_routed(self, order: JobOrder, parts: Sequence[_Part]) -> None:
         """Log where a job goes, and what was known of the room there."""
@@ -155,10 +156,10 @@
             job=order.id,
             parts=[
                 (
-                    part.data_centre,
+                    str(part.group),
                     len(part.tasks),
-                    room[part.data_centre].epoch if part.data_centre in room else None,
-                    room[part.data_centre].free if part.data_centre in room else None,
+                    room[part.group].epoch if part.group in room else None,
+                    room[part.group].free if part.group in room else None,
                 )
                 for part in parts
             ],
@@ -168,7 +169,8 @@
     def submission(self, order: JobOrder, part: _Part) -> Submission:
         """Return a part as a job of its own, under a key that was never used."""
         self._keys += 1
-        key = JobKey(f"{part.data_centre}{KEY_SEPARATOR}{order.id}.{self._keys}")
+        unique = f"{order.id}.{self._nonce}{self._keys}"
+        key = JobKey(f"{part.group.data_centre}{KEY_SEPARATOR}{unique}")
         now = now_s()
         return Submission(
             key,
@@ -181,18 +183,27 @@
         )
 
     def _place_for(
-        self, count: int, room: dict[DataCentre, DispatcherTold]
-    ) -> DataCentre | None:
-        """Return a dispatcher with room for all, the home one if it has."""
-        home = room.get(self._home)
-        if home is not None and home.free >= count:
-            return self._home
-        widest = max(room.values(), key=lambda told: told.free)
-        return widest.data_centre if widest.free >= count else None
+        self, count: int, room: dict[EndpointGroup, DispatcherTold]
+    ) -> EndpointGroup | None:
+        """Return a dispatcher with room for all, one of this data centre if any has.
+
+        Of two drawn by lot the one with more room is taken, lest all entry hosts choose
+        the same one.
+        """
+        wide = [told for told in room.values() if told.free >= count]
+        near = [told for told in wide if told.group.data_centre == self._home]
+        if near:
+            drawn = self._random.sample(near, min(2, len(near)))
+            return max(drawn, key=lambda told: told.free).group
+        return max(wide, key=lambda told: told.free).group if wide else None
+
+    def _take(self, group: EndpointGroup, tasks: Sequence[TaskSpec]) -> _Part:
+        self._links.note_placed(group, len(tasks))
+        return _Part(group, tuple(tasks))
 
-    def _take(self, data_centre: DataCentre, tasks: Sequence[TaskSpec]) -> _Part:
-        self._links.note_placed(data_centre, len(tasks))
-        return _Part(data_centre, tuple(tasks))
+    def _wait_s(self, told: DispatcherTold) -> tuple[float, bool]:
+        away = told.group.data_centre != self._home
+        return (told.waiting_s + 0.001) / max(1, told.slots), away
 
 
 class _Running:
@@ -227,15 +238,15 @@
 
     async def _run_part(self, part: _Part, scope: trio.CancelScope) -> None:
         outcome: Outcome = JobNotRun("no dispatcher took it", RETRY_AFTER_S)
-        for _ in range(MAX_SENDS):
+        while True:
             told = await self._links.run_job(
-                part.data_centre, self._router.submission(self._order, part)
+                part.group, self._router.submission(self._order, part)
             )
             if told.code is ResultCode.COMPLETE:
                 return
             events.JOB_RESENT.log(
                 job=self._order.id,
-                data_centre=part.data_centre,
+                group=str(part.group),
                 tasks=len(part.tasks),
                 code=told.code.name,
                 detail=told.detail,
@@ -252,6 +263,7 @@
                 wait_s = max(told.retry_after_s, RETRY_AFTER_S)
                 if not isinstance(outcome, JobIncomplete):
                     outcome = JobNotRun(f"{told.code.name}: {told.detail}", wait_s)
+                await trio.sleep(REFUSED_PAUSE_S)
                 if now_s() >= self._order.start_by_s:
                     break
             part = self._elsewhere(part)
@@ -269,7 +281,3 @@
         if self._outcome is None:
             self._outcome = outcome
         scope.cancel()
-
-
-def _wait_s(told: DispatcherTold) -> float:
-    return (told.waiting_s + 0.001) / max(1, told.slots)
--- a/currantwell/fleet/local_dispatch.py
+++ b/currantwell/fleet/local_dispatch.py
@@ -1,4 +1,4 @@
-"""The dispatcher that this host runs for a data centre, under one ownership."""
+"""The dispatcher that this host runs for a group, under one ownership."""
 
 import dataclasses
 from collections.abc import Callable, Iterable
@@ -12,7 +12,7 @@
 from ..codes import ResultCode
 from ..dispatcher import Dispatcher
 from ..errors import Deposed
-from ..ids import DataCentre, EndpointId, Incarnation, JobId, job_id
+from ..ids import EndpointId, Incarnation, JobId, job_id
 from ..metrics import HostLoad
 from ..submission import Submission
 from .fleet_state import Ownership
@@ -63,15 +63,10 @@
         self._meetings: dict[EndpointId, _Meeting] = {}
         self._scope = trio.CancelScope()
 
-    @property
-    def data_centre(self) -> DataCentre:
-        """Whose endpoints it uses."""
-        return self.ownership.data_centre
-
     async def run(self) -> None:
         """Dispatch until closed or deposed."""
         owned = self.ownership
-        events.DISPATCHER_STARTED.log(data_centre=owned.data_centre, epoch=owned.epoch)
+        events.DISPATCHER_STARTED.log(group=str(owned.group), epoch=owned.epoch)
         ground = "a newer ownership"
         try:
             with self._scope:
@@ -84,7 +79,7 @@
         finally:
             self.serving = False
             events.DISPATCHER_STOPPED.log(
-                data_centre=owned.data_centre, epoch=owned.epoch, ground=ground
+                group=str(owned.group), epoch=owned.epoch, ground=ground
             )
 
     def close(self) -> None:
@@ -105,7 +100,7 @@
         room = self._dispatcher.room()
         owned = self.ownership
         return DispatcherTold(
-            owned.data_centre,
+            owned.group,
             owned.epoch,
             self.serving,
             room.free,
@@ -160,10 +155,11 @@
             await trio.sleep(MEET_INTERVAL_S)
 
     def _own_endpoints(self) -> Iterable[EndpointId]:
+        group = self.ownership.group
         return [
             endpoint
             for endpoint, known in self._view.endpoints.items()
-            if known.report.announcement.data_centre == self.data_centre
+            if group.holds(known.report.announcement.data_centre, endpoint)
         ]
 
     async def _meet(self, endpoint: EndpointId) -> None:
--- a/currantwell/fleet/messages.py
+++ b/currantwell/fleet/messages.py
@@ -7,6 +7,7 @@
 from ..ids import DataCentre, EndpointId, Epoch, HostId, Incarnation
 from ..submission import Submission
 from .fleet_state import Ownership
+from .groups import EndpointGroup
 from .routes import Configuration, ServiceId
 
 __all__ = [
@@ -74,6 +75,8 @@
         Whether it is an entry host, which may dispatch.
     draining : bool
         Whether it is about to stop and should dispatch no longer.
+    cores : float
+        How much processor it has; the largest hosts dispatch.
     """
 
     host: HostId
@@ -82,6 +85,7 @@
     address: str
     dispatches: bool = True
     draining: bool = False
+    cores: float = 1.0
 
 
 class HostsTold(msgspec.Struct, frozen=True, tag="hosts"):
@@ -133,14 +137,14 @@
     ----------
     request : int
         Names the request on its channel.
-    data_centre : DataCentre
-        Whose endpoints are to run it.
+    group : EndpointGroup
+        The endpoints that are to run it.
     submission : Submission
         The work.
     """
 
     request: int
-    data_centre: DataCentre
+    group: EndpointGroup
     submission: Submission
 
 
@@ -176,8 +180,8 @@
 
     Parameters
     ----------
-    data_centre : DataCentre
-        Whose endpoints it uses.
+    group : EndpointGroup
+        The endpoints that it uses.
     epoch : Epoch
         Under which epoch.
     serving : bool
@@ -190,7 +194,7 @@
         Estimated run time of the waiting tasks together.
     """
 
-    data_centre: DataCentre
+    group: EndpointGroup
     epoch: Epoch
     serving: bool
     free: int = 0
--- a/currantwell/fleet/ownership.py
+++ b/currantwell/fleet/ownership.py
@@ -13,6 +13,7 @@
 
 from ..ids import DataCentre, Epoch, HostId, Incarnation
 from .fleet_state import Ownership
+from .groups import EndpointGroup, groups_of
 from .messages import HostHello
 
 __all__ = ["OwnershipRule", "Sighting"]
@@ -57,7 +58,7 @@
     def next(
         self,
         now_s: float,
-        owners: Mapping[DataCentre, Ownership],
+        owners: Mapping[EndpointGroup, Ownership],
         sightings: Mapping[HostId, Sighting],
     ) -> list[Ownership]:
         """Return the ownerships to have agreed now.
@@ -88,25 +89,45 @@
             data_centre: self._reached_s.get(data_centre, now_s)
             for data_centre in reached
         }
-        for data_centre in self._data_centres:
-            if data_centre not in reached:
+        for group in self._groups(owners, fresh):
+            if group.data_centre not in reached:
                 continue
-            owned = owners.get(data_centre)
-            joined = now_s - self._reached_s[data_centre] >= LOST_AFTER_S
+            owned = owners.get(group)
+            joined = now_s - self._reached_s[group.data_centre] >= LOST_AFTER_S
             if not (settled and joined) and not _restarted(owned, fresh):
                 continue
-            chosen = self._choose(data_centre, owned, fresh, load, now_s)
+            chosen = self._choose(group, owned, fresh, load, now_s)
             if chosen is not None:
                 epoch = Epoch((owned.epoch if owned else 0) + 1)
                 load[chosen.host] = load.get(chosen.host, 0) + 1
-                changes.append(
-                    Ownership(data_centre, epoch, chosen.host, chosen.incarnation)
-                )
+                changes.append(Ownership(group, epoch, chosen.host, chosen.incarnation))
         return changes
 
+    def _groups(
+        self,
+        owners: Mapping[EndpointGroup, Ownership],
+        fresh: Mapping[HostId, Sighting],
+    ) -> list[EndpointGroup]:
+        """Return all groups; how many is settled by the first that is owned."""
+        groups: list[EndpointGroup] = []
+        for data_centre in self._data_centres:
+            owned = [one for one in owners if one.data_centre == data_centre]
+            if owned:
+                count = owned[0].count
+                groups.extend(
+                    EndpointGroup(data_centre, index, count) for index in range(count)
+                )
+                continue
+            hosts = sum(
+                seen.hello.dispatches and seen.hello.data_centre == data_centre
+                for seen in fresh.values()
+            )
+            groups.extend(groups_of(data_centre, hosts))
+        return groups
+
     def _choose(
         self,
-        data_centre: DataCentre,
+        group: EndpointGroup,
         owned: Ownership | None,
         fresh: Mapping[HostId, Sighting],
         load: Mapping[HostId, int],
@@ -120,12 +141,12 @@
         ]
         current = _process(owned, fresh)
         if current is not None and not current.hello.draining:
-            if current.hello.data_centre == data_centre:
+            if current.hello.data_centre == group.data_centre:
                 return None
             usable = [
                 seen
                 for seen in usable
-                if seen.hello.data_centre == data_centre
+                if seen.hello.data_centre == group.data_centre
                 and now_s - seen.first_s >= RETURN_AFTER_S
             ]
         if not usable:
@@ -133,9 +154,10 @@
         best = min(
             usable,
             key=lambda seen: (
-                seen.hello.data_centre != data_centre,
+                seen.hello.data_centre != group.data_centre,
                 owned is None or seen.hello.host != owned.host,
                 load.get(seen.hello.host, 0),
+                -seen.hello.cores,
                 seen.hello.host,
             ),
         )
--- a/currantwell/raft_agreement.py
+++ b/currantwell/raft_agreement.py
@@ -91,6 +91,8 @@
         How long hosts wait for each other.
     snapshot_every : int
         Entries after which the journal is compacted.
+    voters : int
+        While fewer than so many vote, hosts that join later vote too.
 
     Raises
     ------
@@ -109,6 +111,7 @@
         state: StateMachine,
         timing: Timing | None = None,
         snapshot_every: int = SNAPSHOT_EVERY,
+        voters: int = 0,
     ) -> None:
         if not 0 < len(members) <= MAX_VOTERS:
             raise ValueError(f"{len(members)} voters; 1 to {MAX_VOTERS} are possible")
@@ -132,7 +135,9 @@
         self._applied_more = trio.Event()
         self._wake_event = trio.Event()
         self._exchange = Exchange(peers, self._receive)
-        self._formation = Formation(host, members, peers, self._core, self._wake)
+        self._formation = Formation(
+            host, members, peers, self._core, self._wake, voters
+        )
         self._proposal_count = 0
         self._proposals: dict[int, _Waiter] = {}
         self._reads: dict[int, _Waiter] = {}
--- a/currantwell/raft_formation.py
+++ b/currantwell/raft_formation.py
@@ -39,6 +39,8 @@
         The host's member.
     wake : callable
         Has what the member decided carried out.
+    voters : int
+        While fewer than so many vote, a host that joins later asks for a vote too.
     """
 
     def __init__(
@@ -48,12 +50,14 @@
         peers: PeerNetwork,
         core: Consensus,
         wake: Callable[[], None],
+        voters: int = 0,
     ) -> None:
         self._host = host
         self._initial = tuple(initial)
         self._peers = peers
         self._core = core
         self._wake = wake
+        self._voters = voters
 
     async def run(self) -> None:
         """Return once the host is a member."""
@@ -101,7 +105,7 @@
         if any(member in answer.membership.members for answer in formed):
             return
         events.JOIN_ASKED.log(member=member)
-        request = JoinAsked(member, self._host in self._initial)
+        request = JoinAsked(member, self._may_vote(formed))
         for answer in formed:
             try:
                 host = host_of(answer.member)
@@ -110,6 +114,10 @@
             except PeerUnreachable:
                 continue
 
+    def _may_vote(self, formed: Sequence[MemberAnswered]) -> bool:
+        known = max((answer.membership for answer in formed), key=_candidates)
+        return self._host in self._initial or _candidates(known) < self._voters
+
     async def _ask_all(self) -> list[MemberAnswered]:
         answers: list[MemberAnswered] = []
 
@@ -126,3 +134,8 @@
                 if host != self._host:
                     nursery.start_soon(ask, host)
         return answers
+
+
+def _candidates(membership: Membership) -> int:
+    """Return how many members vote or will."""
+    return len(membership.voters) + len(membership.joining)
--- /dev/null
+++ b/tests/cooperative/deployment.py
@@ -0,0 +1,250 @@
+"""A small deployment of the real programs over loopback, for tests.
+
+Each machine has an address of its own in 127.0.0.0/8, since ports are the same on all
+machines of the platform. Workers are stand-ins that run in the test's own loop.
+"""
+
+import dataclasses
+import json
+import os
+import signal
+import subprocess
+import sys
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import httpcore
+import trio
+
+from tests.cooperative.worker import Worker, serving
+
+ROOT = Path(__file__).parent.parent.parent
+ZONES = ("valdres", "hallingdal", "gudbrandsdal")
+TRAFFIC_PORT, READY_PORT, CONTROL_PORT, INTERNAL_PORT = 8161, 8167, 8166, 7720
+HEARTBEAT_S = 0.5
+PATIENCE_S = 20.0
+# Each deployment of a test run gets machines of its own.
+_networks = iter(range(1 + os.getpid() % 200, 10_000))
+
+
+@dataclasses.dataclass
+class Machine:
+    """A machine and the process that runs on it, if any."""
+
+    name: str
+    zone: str
+    ip: str
+    program: str
+    folder: Path
+    process: subprocess.Popen | None = None
+
+    def start(self, settings):
+        path = self.folder / f"{self.name}.conf"
+        path.write_text(settings)
+        with open(self.folder / f"{self.name}.log", "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "platform/run.py", self.program],
+                cwd=ROOT,
+                env={**os.environ, "CURRANTWELL_SETTINGS": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def kill(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait()
+
+    def log(self):
+        return (self.folder / f"{self.name}.log").read_text()
+
+
+class Deployment:
+    """Three control hosts, entry hosts and workers in three zones."""
+
+    def __init__(self, folder, entries=3, workers=6):
+        network = next(_networks)
+        self.network = f"127.{100 + network % 100}.{network // 100 % 250}"
+        self.folder = folder
+        self.controls = [
+            self._machine(f"core-{zone}-1", zone, 10 + index, "control")
+            for index, zone in enumerate(ZONES)
+        ]
+        self.entries = [
+            self._machine(
+                f"frontend-{ZONES[index % 3]}-{index}",
+                ZONES[index % 3],
+                50 + index,
+                "entry",
+            )
+            for index in range(entries)
+        ]
+        self.workers = [Worker(f"i-{index}") for index in range(workers)]
+        self.urls = {}
+        self.beats = 0
+        self.jobs = 0
+
+    def _machine(self, name, zone, last, program):
+        return Machine(name, zone, f"{self.network}.{last}", program, self.folder)
+
+    def start(self, machine, first=True):
+        seeds = ",".join(f"{each.ip}:{CONTROL_PORT}" for each in self.controls)
+        zones = "\n".join(f"zones.{zone}=here" for zone in ZONES)
+        lines = [
+            f"node={machine.name}",
+            f"zone={machine.zone}",
+            zones,
+            f"ip_address={machine.ip}",
+            f"internal_ports={INTERNAL_PORT},{INTERNAL_PORT + 15}",
+            f"seeds={seeds}",
+            f"bootstrap={'true' if first else 'false'}",
+            "bounds.hold_max_ms=1000",
+            "bounds.grace_s=6",
+        ]
+        if machine.program == "entry":
+            lines.append(f"listen.frontend={machine.ip}:{TRAFFIC_PORT}")
+            lines.append(f"listen.readiness={machine.ip}:{READY_PORT}")
+        else:
+            lines.append(f"listen.control={machine.ip}:{CONTROL_PORT}")
+            lines.append(f"data_directory={self.folder / machine.name}")
+        machine.start("\n".join(lines) + "\n")
+
+    def restart(self, machine):
+        machine.kill()
+        self.start(machine, first=False)
+
+    # What operators, workers, the balancer and clients do.
+
+    async def call(self, method, url, body=None, host=None, timeout_s=2.0):
+        """Return a status and a decoded body; None if there was no whole answer."""
+        headers = [(b"host", (host or "a.example").encode())]
+        content = None if body is None else json.dumps(body).encode()
+        async with httpcore.AsyncConnectionPool() as pool:
+            try:
+                with trio.fail_after(timeout_s):
+                    reply = await pool.request(
+                        method, url, headers=headers, content=content
+                    )
+            except (trio.TooSlowError, OSError, httpcore.NetworkError):
+                return None
+            except (httpcore.ProtocolError, httpcore.TimeoutException):
+                return None
+        return reply.status, json.loads(reply.content or b"{}")
+
+    async def put(self, version, prefix="/p/", **route):
+        """Send a configuration until some control host acknowledges it."""
+        body = {
+            "version": version,
+            "routes": [
+                {
+                    "name": f"r{prefix.strip('/')}",
+                    "host": "a.example",
+                    "path_prefix": prefix,
+                    "service": "board",
+                    "timeout_ms": 1500,
+                    "target_duration_ms": 60,
+                    "stretch": 1.6,
+                    "max_attempts": 2,
+                    **route,
+                }
+            ],
+            "services": [{"name": "board"}],
+        }
+        with trio.fail_after(PATIENCE_S):
+            while True:
+                for machine in self.controls:
+                    url = f"http://{machine.ip}:{CONTROL_PORT}/-/Configuration.Put"
+                    reply = await self.call("POST", url, body)
+                    if reply is not None and reply[0] == 200:
+                        return body
+                await trio.sleep(0.1)
+
+    async def read(self, machine):
+        url = f"http://{machine.ip}:{CONTROL_PORT}/-/Configuration.Get"
+        return await self.call("GET", url)
+
+    async def beat(self, worker, url, state="ready"):
+        """Send a heartbeat to the first control host that takes it."""
+        self.beats += 1
+        index = self.workers.index(worker)
+        body = {
+            "service": "board",
+            "address": url.removeprefix("http://"),
+            "zone": ZONES[index % 3],
+            "slots": 8,
+            "state": state,
+            "sequence": self.beats,
+            "born": worker.born,
+            "capacity": {"cpu_millicores": 16000, "memory_request_mb": 1000},
+            "labels": ["a", "r1"],
+        }
+        for machine in self.controls:
+            path = f"/-/Instances.Heartbeat/{worker.identifier}"
+            where = f"http://{machine.ip}:{CONTROL_PORT}{path}"
+            reply = await self.call("POST", where, body, timeout_s=1.0)
+            if reply is not None and reply[0] == 200:
+                return
+
+    async def ready(self, machine):
+        reply = await self.call("GET", f"http://{machine.ip}:{READY_PORT}/-/readiness")
+        return reply is not None and reply[0] == 200
+
+    async def until_ready(self, *machines):
+        with trio.fail_after(PATIENCE_S):
+            for machine in machines or self.entries:
+                while not await self.ready(machine):
+                    await trio.sleep(0.05)
+
+    async def submit(self, machine, tasks=2, identifier=None, prefix="/p/"):
+        """Submit a best-effort job; return its id and the answer, None if none came."""
+        self.jobs += 1
+        identifier = identifier or f"{self.jobs:016x}"
+        step = {"count": tasks, "cpu_millicores": 2000, "estimated_ms": 50}
+        body = {"task_spec": "text", "best_effort": True, "steps": [step]}
+        url = f"http://{machine.ip}:{TRAFFIC_PORT}{prefix}{identifier}"
+        return identifier, await self.call("POST", url, body)
+
+    def owner(self, zone):
+        """Return the running entry host that said last that it dispatches to a zone."""
+        for machine in self.entries:
+            if machine.process.poll() is not None:
+                continue
+            said = [
+                line
+                for line in machine.log().splitlines()
+                if "dispatcher_st" in line and zone in line
+            ]
+            if said and "dispatcher_started" in said[-1]:
+                return machine
+        return None
+
+
+@asynccontextmanager
+async def deployed(folder, **sizes):
+    """Start a deployment with a first configuration; end what it started."""
+    deployment = Deployment(folder, **sizes)
+
+    async def live(worker, task_status):
+        async with serving(worker) as url:
+            deployment.urls[worker.identifier] = url
+            task_status.started()
+            while True:
+                if not worker.silent:
+                    state = "draining" if worker.draining else "ready"
+                    await deployment.beat(worker, url, state)
+                await trio.sleep(HEARTBEAT_S)
+
+    try:
+        async with trio.open_nursery() as nursery:
+            for machine in (*deployment.controls, *deployment.entries):
+                deployment.start(machine)
+            for worker in deployment.workers:
+                await nursery.start(live, worker)
+            await deployment.put(1)
+            await deployment.until_ready()
+            yield deployment
+            nursery.cancel_scope.cancel()
+    finally:
+        for machine in (*deployment.controls, *deployment.entries):
+            machine.kill()
--- /dev/null
+++ b/tests/cooperative/test_programs.py
@@ -0,0 +1,161 @@
+"""The real programs over loopback: jobs, configurations, kills and drains."""
+
+import signal
+
+import trio
+
+from tests.cooperative.deployment import PATIENCE_S, deployed
+
+
+async def until_served(deployment, machine, prefix="/p/"):
+    with trio.fail_after(PATIENCE_S):
+        while True:
+            _, reply = await deployment.submit(machine, prefix=prefix)
+            if reply == (200, {"state": "completed"}):
+                return
+            await trio.sleep(0.1)
+
+
+def starts(deployment):
+    return [start for worker in deployment.workers for start in worker.started]
+
+
+async def test_jobs_are_answered_by_every_entry_host(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        for machine in deployment.entries:
+            identifier, reply = await deployment.submit(machine, tasks=3)
+            assert reply == (200, {"state": "completed"})
+            names = {name for name, _ in starts(deployment) if identifier in name}
+            assert names == {f"{identifier}.0.0.{index}" for index in range(3)}
+
+
+async def test_unknown_queues_and_malformed_jobs_get_a_4xx(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        entry = deployment.entries[0]
+        _, reply = await deployment.submit(entry, prefix="/other/")
+        assert reply[0] == 404
+        _, reply = await deployment.submit(entry, tasks=0)
+        assert reply[0] == 400
+        assert not starts(deployment)
+
+
+async def test_a_task_that_fails_is_run_again_until_its_limit(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        for worker in deployment.workers:
+            worker.how = "failed"
+        identifier, reply = await deployment.submit(deployment.entries[0], tasks=1)
+        assert reply == (200, {"state": "failed"})
+        runs = [run for name, run in starts(deployment) if identifier in name]
+        assert runs == [1, 2]
+
+
+async def test_a_change_is_in_force_everywhere_and_outlives_a_kill_of_all(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        sent = await deployment.put(5, prefix="/q/")
+        with trio.fail_after(2.0):
+            for machine in deployment.entries:
+                await until_served(deployment, machine, "/q/")
+        _, reply = await deployment.submit(deployment.entries[0])
+        assert reply[0] == 404
+        for machine in (*deployment.controls, *deployment.entries):
+            machine.kill()
+        for machine in (*deployment.controls, *deployment.entries):
+            deployment.start(machine, first=False)
+        await deployment.until_ready()
+        await until_served(deployment, deployment.entries[0], "/q/")
+        for machine in deployment.controls:
+            assert await deployment.read(machine) == (200, sent)
+
+
+async def test_an_older_or_equal_version_is_acknowledged_and_changes_nothing(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        sent = await deployment.put(5, prefix="/q/")
+        await deployment.put(5, prefix="/other/")
+        await deployment.put(4, prefix="/old/")
+        assert await deployment.read(deployment.controls[1]) == (200, sent)
+
+
+async def test_a_minority_does_not_say_which_configuration_is_the_newest(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        for machine in deployment.controls[1:]:
+            machine.kill()
+        reply = await deployment.read(deployment.controls[0])
+        assert reply is None or reply[0] == 503
+
+
+async def test_a_killed_dispatcher_is_replaced_and_no_task_runs_twice(tmp_path):
+    async with deployed(tmp_path, entries=6) as deployment:
+        for worker in deployment.workers:
+            worker.task_s = 0.4
+        dispatcher = deployment.owner("valdres")
+        others = [each for each in deployment.entries if each is not dispatcher]
+        async with trio.open_nursery() as nursery:
+            for machine in others * 3:
+                nursery.start_soon(deployment.submit, machine, 3)
+            await trio.sleep(0.2)
+            dispatcher.kill()
+        assert not any(worker.ran_at_once for worker in deployment.workers)
+        with trio.fail_after(3.0):
+            for machine in others:
+                await until_served(deployment, machine)
+            while deployment.owner("valdres") is None:
+                await trio.sleep(0.05)
+
+
+async def test_a_draining_worker_gets_no_new_start(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        leaving = deployment.workers[0]
+        leaving.draining = True
+        await trio.sleep(2.0)
+        before = len(leaving.started)
+        for _ in range(10):
+            await deployment.submit(deployment.entries[0], tasks=4)
+        assert len(leaving.started) == before
+
+
+async def test_a_host_that_is_told_to_stop_cuts_off_no_request(tmp_path):
+    async with deployed(tmp_path, entries=6) as deployment:
+        for worker in deployment.workers:
+            worker.task_s = 0.3
+        stopping = deployment.owner("valdres")
+        replies = []
+
+        async def submit():
+            replies.append((await deployment.submit(stopping, 2))[1])
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(6):
+                nursery.start_soon(submit)
+            await trio.sleep(0.1)
+            stopping.process.send_signal(signal.SIGTERM)
+        assert replies == [(200, {"state": "completed"})] * 6
+        assert not await deployment.ready(stopping)
+        with trio.fail_after(6.0):
+            while stopping.process.poll() is None:
+                await trio.sleep(0.05)
+        assert stopping.process.returncode == 0
+        await until_served(deployment, deployment.entries[1])
+
+
+async def test_a_client_that_leaves_has_its_tasks_stopped(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        for worker in deployment.workers:
+            worker.task_s = 1.2
+        with trio.move_on_after(0.3):
+            await deployment.submit(deployment.entries[0], tasks=2)
+        assert len(starts(deployment)) == 2
+        await trio.sleep(0.4)
+        assert not any(worker.runs for worker in deployment.workers)
+
+
+async def test_a_control_host_that_lost_its_disk_comes_back(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        lost = deployment.controls[0]
+        lost.kill()
+        for path in (tmp_path / lost.name).iterdir():
+            path.unlink()
+        sent = await deployment.put(7, prefix="/q/")
+        deployment.start(lost, first=False)
+        with trio.fail_after(PATIENCE_S):
+            while await deployment.read(lost) != (200, sent):
+                await trio.sleep(0.1)
--- a/tests/cooperative/worker.py
+++ b/tests/cooperative/worker.py
@@ -42,6 +42,8 @@
         self.late_orders = []
         self.silent = False
         self.reject = None
+        self.draining = False
+        self.doubled = []
 
     def clock_ms(self):
         return int(trio.current_time() * 1000) % 10_000_000
@@ -92,6 +94,8 @@
             return 409, {"reason": "old"}
         self.deadline_ms = max(self.deadline_ms, order["deadline_ms"])
         now = trio.current_time()
+        if name in self.runs:
+            self.doubled.append(name)
         self.runs[name] = Run(name, run, now + self.task_s, self.how, now)
         self.started.append((name, run))
         return 200, {}
@@ -115,6 +119,11 @@
         ]
         return {"running": running, "ended": list(self.ended), "born": self.born}
 
+    @property
+    def ran_at_once(self):
+        """The tasks of which two runs were here at the same time."""
+        return self.doubled
+
     def lapse(self):
         now = trio.current_time()
         for name, run in list(self.runs.items()):
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -2,6 +2,7 @@
 
 from currantwell.endpoint_protocol import Announcement
 from currantwell.fleet.fleet_state import Ownership
+from currantwell.fleet.groups import EndpointGroup
 from currantwell.fleet.messages import EndpointReport, HostHello
 from currantwell.fleet.ownership import Sighting
 from currantwell.fleet.routes import Configuration, Route, Service, ServiceId
@@ -64,6 +65,5 @@
 
 
 def an_ownership(epoch=1, host="valdres-1", incarnation="a", data_centre="valdres"):
-    return Ownership(
-        DataCentre(data_centre), Epoch(epoch), HostId(host), Incarnation(incarnation)
-    )
+    group = EndpointGroup(DataCentre(data_centre))
+    return Ownership(group, Epoch(epoch), HostId(host), Incarnation(incarnation))
--- a/tests/fleet/test_fleet_state.py
+++ b/tests/fleet/test_fleet_state.py
@@ -9,7 +9,6 @@
     SetOwner,
     encode_command,
 )
-from currantwell.ids import DataCentre
 from tests.fleet.builders import a_configuration, a_route, an_ownership
 
 
@@ -35,7 +34,7 @@
     state = FleetState()
     for owned in (an_ownership(1), an_ownership(1, "b"), an_ownership(3, "c")):
         state.apply(1, encode_command(SetOwner(owned)))
-    assert state.owner(DataCentre("valdres")) == an_ownership(1)
+    assert state.owner(an_ownership().group) == an_ownership(1)
 
 
 def test_a_snapshot_rebuilds_the_state():
--- a/tests/fleet/test_job_router.py
+++ b/tests/fleet/test_job_router.py
@@ -4,6 +4,7 @@
 import trio
 
 from currantwell.codes import ResultCode
+from currantwell.fleet.groups import EndpointGroup
 from currantwell.fleet.job_router import (
     LAPSE_S,
     JobDone,
@@ -17,7 +18,7 @@
 from currantwell.ids import DataCentre, Epoch, Team
 from currantwell.submission import TaskSpec
 
-HOME, AWAY = DataCentre("valdres"), DataCentre("hallingdal")
+HOME, AWAY = (EndpointGroup(DataCentre(n)) for n in ("valdres", "hallingdal"))
 
 
 class Links:
@@ -32,12 +33,14 @@
 
     def room(self):
         return {
-            place: DispatcherTold(DataCentre(place), Epoch(1), True, free, 8)
+            (group := EndpointGroup(DataCentre(place))): DispatcherTold(
+                group, Epoch(1), True, free, 8
+            )
             for place, free in self.free.items()
         }
 
     def note_placed(self, place, tasks):
-        self.free[place] -= tasks
+        self.free[place.data_centre] -= tasks
 
     async def run_job(self, place, submission):
         self.sent.append((place, len(submission.tasks), trio.current_time()))
@@ -60,7 +63,7 @@
         now + start_by_s,
         now + 0.3,
     )
-    return await JobRouter(HOME, links).run(order)
+    return await JobRouter(HOME.data_centre, links).run(order)
 
 
 def places(links):
--- a/tests/fleet/test_ownership.py
+++ b/tests/fleet/test_ownership.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from currantwell.fleet.groups import EndpointGroup
 from currantwell.fleet.ownership import (
     LOST_AFTER_S,
     RETURN_AFTER_S,
@@ -18,14 +19,14 @@
     """Return what the rule decides after it has heard the same hosts for long."""
     rule = OwnershipRule([VALDRES])
     hosts = {seen.hello.host: seen for seen in sightings}
-    known = {owned.data_centre: owned for owned in owners}
+    known = {owned.group: owned for owned in owners}
     rule.next(began_s, known, hosts)
     return rule.next(now_s, known, hosts)
 
 
 def test_an_owner_behind_a_cut_has_time_to_come_back_after_it():
     rule = OwnershipRule([VALDRES])
-    owned = {VALDRES: an_ownership(1)}
+    owned = {EndpointGroup(VALDRES): an_ownership(1)}
     rule.next(0.0, owned, {})
     other = a_sighting(host="valdres-2", last_s=11.0)
     hosts = {other.hello.host: other}
@@ -84,3 +85,23 @@
 def test_a_draining_dispatcher_is_replaced():
     leaves, near = a_sighting(draining=True), a_sighting(host="valdres-2")
     assert decide([an_ownership(1)], leaves, near) == [an_ownership(2, "valdres-2")]
+
+
+def test_a_large_data_centre_has_several_dispatchers_on_its_largest_hosts():
+    hosts = [
+        a_sighting(host=f"valdres-{number}", cores=number / 4) for number in range(9)
+    ]
+    changes = decide([], *hosts)
+    assert [change.group for change in changes] == [
+        EndpointGroup(VALDRES, index, 3) for index in range(3)
+    ]
+    assert {change.host for change in changes} == {
+        "valdres-8",
+        "valdres-7",
+        "valdres-6",
+    }
+
+
+def test_how_many_groups_there_are_is_settled_once():
+    hosts = [a_sighting(host=f"valdres-{number}") for number in range(1, 10)]
+    assert not decide([an_ownership(1)], *hosts)
