--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -76,12 +76,15 @@
         How long after its deadline the answer of a job is kept.
     clock_drift : float
         By what share the clock of an endpoint may be slow.
+    adopt_first : bool
+        Whether an endpoint gets no start before its link says that it answers.
     """
 
     endpoint_lease_s: float = 8.0
     suspect_after_s: float = 5.0
     answer_kept_s: float = 86_400.0
     clock_drift: float = 0.01
+    adopt_first: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -148,6 +151,7 @@
                 self._limits.endpoint_lease_s,
                 self._limits.suspect_after_s,
                 self._limits.clock_drift,
+                self._limits.adopt_first,
             ),
             scheduler,
             drains or NoDrains(),
--- a/currantwell/endpoint_roster.py
+++ b/currantwell/endpoint_roster.py
@@ -38,11 +38,14 @@
         After so long a silence an endpoint gets no new start.
     clock_drift : float
         By what share the clock of an endpoint may be slow.
+    adopt_first : bool
+        Whether an endpoint gets no start before its link says that it answers.
     """
 
     lease_s: float
     suspect_after_s: float
     clock_drift: float = 0.01
+    adopt_first: bool = False
 
     @property
     def over_after_s(self) -> float:
@@ -126,10 +129,13 @@
         if known is not None and not _same_process(known.announcement, said):
             self._lose(known)
             known = None
+        met = known is None
         if known is None:
             known = self._meet(said, nursery)
         known.heard_s = now_s()
         self._take_in(known, said)
+        if met and self._limits.adopt_first:
+            self._scheduler.endpoint_reachable(said.endpoint, False)
         return AnnouncementReply(lease_s, self._epoch)
 
     def beat(self, endpoint: EndpointId, beat: Beat) -> LeaseGrant | None:
--- a/tests/cooperative/test_worker_link.py
+++ b/tests/cooperative/test_worker_link.py
@@ -203,3 +203,34 @@
         calls = len(worker.calls)
         await trio.sleep(0.5)
         assert len(worker.calls) == calls
+
+
+async def test_a_worker_given_up_while_it_was_adopted_is_started_nothing():
+    class GivenUp(Owner):
+        """Has counted the worker's lease as over meanwhile."""
+
+        def beat_arrived(self, endpoint, beat):
+            return LeaseGrant(beat.beat, 0.0)
+
+    worker = Worker()
+    async with linked(worker, owner=GivenUp()) as (link, _):
+        link.send([a_start()])
+        await trio.sleep(0.5)
+    assert not worker.started
+
+
+async def test_adoption_is_a_sign_of_life_before_anything_is_started():
+    class Ordered(Owner):
+        """Notes whether it heard of the worker before the first start."""
+
+        def beat_arrived(self, endpoint, beat):
+            self.started_before = list(worker.started)
+            return super().beat_arrived(endpoint, beat)
+
+        started_before = None
+
+    worker = Worker()
+    async with linked(worker, owner=Ordered()) as (link, owner):
+        link.send([a_start()])
+        await until(lambda: owner.started_before is not None)
+        assert not owner.started_before
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -168,6 +168,18 @@
     assert (await bench.dispatcher.endpoints())[0].draining
 
 
+async def test_an_endpoint_may_have_to_answer_before_it_gets_a_start(nursery, clock):
+    bench, job = Bench(adopt_first=True), a_submission()
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    await bench.dispatcher.submit(job)
+    await settle()
+    assert bench.link.starts == []
+    bench.dispatcher.endpoint_answers(E1.endpoint, True)
+    await settle()
+    assert len(bench.link.starts) == 1
+
+
 async def test_a_start_is_not_sent_to_a_later_incarnation(nursery, clock):
     bench, job = Bench(), a_submission(restart=RestartRule.NEVER)
     await nursery.start(bench.dispatcher.run)
