--- a/currantwell/endpoint_load.py
+++ b/currantwell/endpoint_load.py
@@ -59,7 +59,7 @@
         "announcement",
         "id",
         "limit",
-        "long_running",
+        "long_tasks",
         "reachable",
         "running",
         "speed",
@@ -72,7 +72,7 @@
         self.reachable = True
         self.speed = 1.0
         self.limit: int | None = None
-        self.long_running = 0
+        self.long_tasks = 0
         self._processors = 0.0
         self._memory_mb = 0
         self._accelerators = 0
@@ -135,4 +135,4 @@
         self._processors += sign * spec.processors
         self._memory_mb += sign * spec.memory_mb
         self._accelerators += sign * spec.accelerators
-        self.long_running += sign * task.long
+        self.long_tasks += sign * task.long
--- a/currantwell/placement.py
+++ b/currantwell/placement.py
@@ -54,7 +54,7 @@
         """Prepare for choices at one moment; all endpoints are given, fastest first."""
         usable = [load for load in endpoints if load.reachable]
         slots = sum(load.announcement.slots for load in usable)
-        held = sum(load.long_running for load in usable)
+        held = sum(load.long_tasks for load in usable)
         self._long_left = int(preset.long_share * slots) - held
         self._capacity = max(
             1.0, sum(load.announcement.slots * load.speed for load in usable)
