--- a/tests/cooperative/deployment.py
+++ b/tests/cooperative/deployment.py
@@ -17,6 +17,7 @@
 import trio
 
 from tests.cooperative.worker import Worker, serving
+from tests.faulty_proxy import FaultyProxy
 
 ROOT = Path(__file__).parent.parent.parent
 ZONES = ("valdres", "hallingdal", "gudbrandsdal")
@@ -63,7 +64,7 @@
 class Deployment:
     """Three control hosts, entry hosts and workers in three zones."""
 
-    def __init__(self, folder, entries=3, workers=6):
+    def __init__(self, folder, entries=3, workers=6, kind=Worker):
         network = next(_networks)
         self.network = f"127.{100 + network % 100}.{network // 100 % 250}"
         self.folder = folder
@@ -80,8 +81,8 @@
             )
             for index in range(entries)
         ]
-        self.workers = [Worker(f"i-{index}") for index in range(workers)]
-        self.urls = {}
+        self.workers = [kind(f"i-{index}") for index in range(workers)]
+        self.proxies = {}
         self.beats = 0
         self.jobs = 0
 
@@ -132,7 +133,7 @@
                 return None
         return reply.status, json.loads(reply.content or b"{}")
 
-    async def put(self, version, prefix="/p/", **route):
+    async def put(self, version, prefix="/p/", extra=None, **route):
         """Send a configuration until some control host acknowledges it."""
         body = {
             "version": version,
@@ -151,6 +152,9 @@
             ],
             "services": [{"name": "board"}],
         }
+        if extra is not None:
+            more = {**body["routes"][0], "name": "x", "path_prefix": f"/x{extra}/"}
+            body["routes"].append(more)
         with trio.fail_after(PATIENCE_S):
             while True:
                 for machine in self.controls:
@@ -221,13 +225,21 @@
 
 
 @asynccontextmanager
-async def deployed(folder, **sizes):
-    """Start a deployment with a first configuration; end what it started."""
+async def deployed(folder, proxied=False, **sizes):
+    """Start a deployment with a first configuration; end what it started.
+
+    Where it is proxied, faults can be put on the links to the workers.
+    """
     deployment = Deployment(folder, **sizes)
 
     async def live(worker, task_status):
         async with serving(worker) as url:
-            deployment.urls[worker.identifier] = url
+            if proxied:
+                host, _, port = url.removeprefix("http://").rpartition(":")
+                proxy = FaultyProxy((host, int(port)))
+                await nursery.start(proxy.run)
+                deployment.proxies[worker.identifier] = proxy
+                url = f"http://{proxy.address}"
             task_status.started()
             while True:
                 if not worker.silent:
