--- a/tests/cooperative/soak.py
+++ b/tests/cooperative/soak.py
@@ -32,6 +32,7 @@
 # The bound of the platform's pages, and what a loaded machine takes to start a process.
 IN_FORCE_S = 2.0
 BACK_WITHIN_S = 15.0
+GRACE_S = 6.0
 WORKER_FAULTS = ("fail", "hang", "slow", "lose", "drain", "cut", "silent", "one way")
 HOST_FAULTS = ("kill", "kill", "freeze", "term", "hup", "kill all controls", "wipe")
 
@@ -182,27 +183,35 @@
 
     async def host_fault(self, machine, kind, lasts_s):
         if kind == "kill all controls":
-            for control in self.deployment.controls:
-                control.kill()
-            await trio.sleep(lasts_s)
-            for control in self.deployment.controls:
-                self.deployment.restart(control)
-            return
+            await self.kill_all_controls(lasts_s)
+        elif machine.process.poll() is None:
+            if kind == "freeze":
+                await self.freeze(machine, lasts_s)
+            elif kind == "hup":
+                machine.process.send_signal(signal.SIGHUP)
+            else:
+                await self.end(machine, kind, lasts_s)
+
+    async def kill_all_controls(self, lasts_s):
+        for control in self.deployment.controls:
+            control.kill()
+        await trio.sleep(lasts_s)
+        for control in self.deployment.controls:
+            self.deployment.restart(control)
+
+    async def freeze(self, machine, lasts_s):
+        process = machine.process
+        process.send_signal(signal.SIGSTOP)
+        await trio.sleep(lasts_s)
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+
+    async def end(self, machine, kind, lasts_s):
+        """Kill a process, or have it stop, and start it again."""
         process = machine.process
-        if process.poll() is not None:
-            return
-        if kind == "freeze":
-            process.send_signal(signal.SIGSTOP)
-            await trio.sleep(lasts_s)
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-            return
-        if kind == "hup":
-            process.send_signal(signal.SIGHUP)
-            return
         if kind == "term":
             process.send_signal(signal.SIGTERM)
-            with trio.move_on_after(6.0):
+            with trio.move_on_after(GRACE_S):
                 while process.poll() is None:
                     await trio.sleep(0.05)
         if kind == "wipe" and self.may_wipe(machine):
