--- a/currantwell/fleet/local_dispatch.py
+++ b/currantwell/fleet/local_dispatch.py
@@ -19,7 +19,7 @@
 from .fleet_view import FleetView
 from .messages import DispatcherTold, JobEnded
 
-__all__ = ["LocalDispatch", "MakeDispatcher"]
+__all__ = ["LocalDispatch", "MakeDispatcher", "code_of"]
 
 # As often as a dispatcher looks for lost endpoints itself.
 MEET_INTERVAL_S = 0.1
@@ -126,7 +126,7 @@
             return JobEnded(request, ResultCode.UNKNOWN_OWNER_UNREACHABLE, str(error))
         if isinstance(told, Refusal):
             return JobEnded(request, told.code, told.detail)
-        code = _code_of(told)
+        code = code_of(told)
         statuses = await self._dispatcher.tasks(job)
         assert not isinstance(statuses, Refusal)
         events.JOB_RAN.log(
@@ -198,15 +198,15 @@
     return Incarnation(f"{meeting.born_unix_ms}.{meeting.number}")
 
 
-def _code_of(answer: Answer) -> ResultCode:
-    """Return what became of a job as a whole; not run only if nothing was started."""
-    if answer.code is ResultCode.COMPLETE:
+def code_of(answer: Answer) -> ResultCode:
+    """Return what became of a job as a whole.
+
+    Not run only if nothing was started, and failed only if a task failed for good: an
+    attempt that fails while its job is stopped says nothing of the job.
+    """
+    if answer.code in (ResultCode.COMPLETE, ResultCode.JOB_FAILED):
         return answer.code
     states = {task.state for task in answer.tasks}
-    if TaskState.FAILED in states and any(
-        task.code is ResultCode.TASK_FAILED for task in answer.tasks
-    ):
-        return ResultCode.JOB_FAILED
     if answer.tasks and states <= {TaskState.NOT_RUN}:
         return ResultCode.NOT_RUN_DEADLINE
     return ResultCode.DEADLINE_PASSED
