--- /dev/null
+++ b/tests/cooperative/test_worker_clock.py
@@ -0,0 +1,33 @@
+"""The guess of a worker's clock: a lease never ends later than it is counted here."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cooperative.worker_clock import CLOCK_DRIFT, WorkerClock
+
+LEASE_S = 0.6
+
+
+@given(
+    rate=st.floats(1.0 - CLOCK_DRIFT, 1.0),
+    ahead_s=st.floats(-1e5, 1e5),
+    answers=st.lists(
+        st.tuples(st.floats(0.001, 2.0), st.floats(0.0, 0.5)), min_size=1, max_size=8
+    ),
+)
+def test_a_lease_ends_in_time_whatever_the_delays(rate, ahead_s, answers):
+    clock, now_s = WorkerClock(), 1_000.0
+    for pause_s, delay_s in answers:
+        read_s = now_s + pause_s
+        now_s = read_s + delay_s
+        clock.heard(int((ahead_s + 1e6 + rate * read_s) * 1000), now_s)
+    end_ms = clock.lease_end_ms(LEASE_S)
+    ends_s = (end_ms / 1000.0 - ahead_s - 1e6) / rate
+    assert ends_s <= now_s + LEASE_S * (1 + CLOCK_DRIFT) / (1 - CLOCK_DRIFT) + 0.002
+
+
+def test_a_delayed_answer_does_not_shorten_the_lease():
+    clock = WorkerClock()
+    clock.heard(50_000, 10.0)
+    clock.heard(50_100, 10.5)
+    assert clock.lease_end_ms(LEASE_S) == 51_090
