Have a control host at another address vote in the place of one that is gone

Cause: found by reading, for replaced machines: a control host that came at another address followed without a vote for good, so that after one replacement two of three votes were left, and after two none could be won; and hosts knew the addresses of the first control hosts alone.

Change: the leader has a follower vote in the place of a voter silent for 5 s, and removes that voter once enough others vote. Control hosts tell each other where the others are.

Tests: over the agreement and over the real programs, a second voter killed afterwards.

--- a/currantwell/consensus.py
+++ b/currantwell/consensus.py
@@ -28,6 +28,7 @@
     Snapshot,
     VoteReply,
     VoteRequest,
+    host_of,
 )
 from .consensus_output import Output
 from .consensus_voting import NEVER_S, Role, VotingMember
@@ -131,6 +132,35 @@
         fewer = self.membership.without_host(host)
         return fewer == self.membership or self._change_membership(fewer)
 
+    def replace_silent(self, voters: int, silent_s: float) -> None:
+        """Have followers vote in the place of voters that are gone, one at a time.
+
+        A silent voter is removed only once more than enough vote without it.
+
+        Parameters
+        ----------
+        voters : int
+            How many are to vote.
+        silent_s : float
+            A voter that has not answered for so long counts as gone.
+        """
+        if self._leadership is None:
+            return
+        peers, now_s = self._leadership.peers, self._now_s
+        gone = [
+            voter
+            for voter in self.membership.voters
+            if voter in peers and now_s - peers[voter].heard_s > silent_s
+        ]
+        present = len(self.membership.voters) - len(gone)
+        if present + len(self.membership.joining) < voters:
+            for member in self.membership.followers:
+                if now_s - peers[member].heard_s <= silent_s:
+                    self._change_membership(self.membership.with_learner(member, True))
+                    return
+        elif gone and present >= voters:
+            self._change_membership(self.membership.without_host(host_of(gone[0])))
+
     def compact(self, index: int, data: bytes) -> Snapshot:
         """Put a snapshot of the state as of an applied entry in the place of entries.
 
--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -195,6 +195,8 @@
                 for report in reports:
                     if self._registry.take(report, now_s()):
                         self._registry_changed = True
+            case ControlHostsTold(addresses):
+                self._controls.update(set(addresses) - {self._hello.address})
             case EndpointsHeard(endpoints):
                 self._registry.heard(endpoints, now_s())
             case EndpointsGone(endpoints):
--- a/currantwell/peers.py
+++ b/currantwell/peers.py
@@ -83,6 +83,8 @@
         IP number and port of each other host.
     key : bytes
         The key that all hosts share.
+    address_of : callable or None
+        Returns the address of a host that is not among the addresses.
     """
 
     name = ServiceName("peers")
@@ -93,11 +95,13 @@
         address: str,
         addresses: Mapping[HostId, str],
         key: bytes,
+        address_of: Callable[[HostId], str] | None = None,
     ) -> None:
         self.host = host
         self._address = address
         self._addresses = dict(addresses)
         self._key = key
+        self._address_of = address_of
         self._handlers: dict[str, tuple[type[PeerMessage], PeerHandler]] = {}
         self._sockets: dict[HostId, pynng.Req0] = {}
 
@@ -156,6 +160,8 @@
         socket = self._sockets.get(host)
         if socket is None:
             address = self._addresses.get(host)
+            if address is None and self._address_of is not None:
+                address = self._address_of(host)
             if address is None:
                 raise PeerUnreachable(f"{host}: no address is known")
             socket = pynng.Req0(
--- a/currantwell/raft_agreement.py
+++ b/currantwell/raft_agreement.py
@@ -58,6 +58,8 @@
 RETRY_S = 0.1
 RESEND_S = 0.75
 SNAPSHOT_EVERY = 1_000
+# Longer than a host needs to start again after a loss of power of a few seconds.
+VOTER_GONE_S = 5.0
 INCARNATION_BYTES = 6
 MAX_COMMAND_BYTES = 256 * 1024
 
@@ -91,8 +93,9 @@
         How long hosts wait for each other.
     snapshot_every : int
         Entries after which the journal is compacted.
-    voters : int
-        While fewer than so many vote, hosts that join later vote too.
+    wanted_voters : int
+        While fewer than so many vote, hosts that join later vote too, also in the place
+        of voters that are gone for good.
 
     Raises
     ------
@@ -111,7 +114,7 @@
         state: StateMachine,
         timing: Timing | None = None,
         snapshot_every: int = SNAPSHOT_EVERY,
-        voters: int = 0,
+        wanted_voters: int = 0,
     ) -> None:
         if not 0 < len(members) <= MAX_VOTERS:
             raise ValueError(f"{len(members)} voters; 1 to {MAX_VOTERS} are possible")
@@ -119,6 +122,7 @@
         self._peers = peers
         self._storage = RaftStorage(journal)
         self._table = ProposalTable(state)
+        self._wanted_voters = wanted_voters
         self._snapshot_every = snapshot_every
         storage = self._storage
         fresh = member_id(host, secrets.token_hex(INCARNATION_BYTES))
@@ -136,7 +140,7 @@
         self._wake_event = trio.Event()
         self._exchange = Exchange(peers, self._receive)
         self._formation = Formation(
-            host, members, peers, self._core, self._wake, voters
+            host, members, peers, self._core, self._wake, wanted_voters
         )
         self._proposal_count = 0
         self._proposals: dict[int, _Waiter] = {}
@@ -350,6 +354,8 @@
         jitter = random.SystemRandom()
         while True:
             self._core.tick(now_s(), jitter.random())
+            if self._wanted_voters:
+                self._core.replace_silent(self._wanted_voters, VOTER_GONE_S)
             self._wake()
             left_s = self._core.due_s - now_s()
             await trio.sleep(min(max(left_s, MIN_TICK_S), MAX_TICK_S))
--- a/tests/cooperative/deployment.py
+++ b/tests/cooperative/deployment.py
@@ -111,6 +111,15 @@
             lines.append(f"data_directory={self.folder / machine.name}")
         machine.start("\n".join(lines) + "\n")
 
+    async def replace(self, machine):
+        """Kill a control host for good, and start an empty one at another address."""
+        index = self.controls.index(machine)
+        machine.kill()
+        name = f"{machine.name}-next"
+        fresh = self._machine(name, machine.zone, 30 + index, "control")
+        self.controls[index] = fresh
+        self.start(fresh, first=False)
+
     def restart(self, machine):
         machine.kill()
         self.start(machine, first=False)
--- a/tests/cooperative/test_programs.py
+++ b/tests/cooperative/test_programs.py
@@ -1,5 +1,6 @@
 """The real programs over loopback: jobs, configurations, kills and drains."""
 
+import json
 import signal
 
 import trio
@@ -159,3 +160,30 @@
         with trio.fail_after(PATIENCE_S):
             while await deployment.read(lost) != (200, sent):
                 await trio.sleep(0.1)
+
+
+async def test_a_replaced_control_host_votes_in_the_place_of_the_first(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        await deployment.replace(deployment.controls[0])
+        fresh = deployment.controls[0]
+        with trio.fail_after(PATIENCE_S):
+            while "membership_changed" not in fresh.log():
+                await trio.sleep(0.1)
+            await until_voters(deployment, {each.ip for each in deployment.controls})
+        deployment.controls[1].kill()
+        sent = await deployment.put(9, prefix="/q/")
+        assert await deployment.read(fresh) == (200, sent)
+
+
+async def until_voters(deployment, wanted):
+    """Wait until the control hosts at these addresses vote, and no one else."""
+    while True:
+        for machine in deployment.controls:
+            changes = [
+                json.loads(line)["voters"]
+                for line in machine.log().splitlines()
+                if "membership_changed" in line
+            ]
+            if changes and {voter.partition("/")[0] for voter in changes[-1]} == wanted:
+                return
+        await trio.sleep(0.1)
--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from currantwell.consensus_leader import Timing
 from currantwell.errors import AgreementLost
 from tests.builders import AgreementCluster
 
@@ -113,3 +114,20 @@
             await leader.agreement.propose(b"alone", timeout_s=1.5)
         assert leader.state.commands == []
         assert leader.agreement.leader is None
+
+
+async def test_a_host_at_another_address_votes_in_the_place_of_one_that_is_gone():
+    timing = Timing(follower_heartbeat_s=0.2)
+    async with cluster_of(4, voters=3, timing=timing, wanted_voters=3) as cluster:
+        leader = await cluster.leader()
+        others = [name for name in cluster.voters if name != leader.host]
+        (successor,) = set(cluster.running) - set(cluster.voters)
+        member = cluster.running[successor].agreement.member
+        gone = cluster.running[others[0]].agreement.member
+        await cluster.kill(others[0])
+        while gone in leader.agreement.membership.members:
+            await trio.sleep(0.05)
+        assert member in leader.agreement.membership.voters
+        assert len(leader.agreement.membership.voters) == 3
+        await cluster.kill(others[1])
+        await cluster.running[successor].agreement.propose(b"after")
