--- a/currantwell/dispatch_policies.py
+++ b/currantwell/dispatch_policies.py
@@ -16,8 +16,8 @@
 
 __all__ = ["dispatch_policies", "dispatch_scheduler", "prompt_scheduler"]
 
-# Declared run times are off by a factor of 1.5, alike for the tasks of a job: the mean of
-# so many by 1.2. An endpoint of three slots ends as many in two or three seconds.
+# Declared run times are off by a factor of 1.5, alike for the tasks of a job: the mean
+# of so many by 1.2. An endpoint of three slots ends as many in two or three seconds.
 PROMPT_SPEED_MEMORY_TASKS = 24
 
 
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -59,7 +59,7 @@
 FORGET_INTERVAL_S = 10.0
 # Room for the stop of the first attempt and an estimate that is too low.
 RESTART_MARGIN = 1.3
-# Declared run times are off by 1.5 as a rule; what needs so much more is the endpoint's.
+# Declared run times are off by 1.5 as a rule; so much more is the endpoint's doing.
 STALL_FACTOR = 4.0
 MAX_RESTARTS = 2
 
