Never say of a job that it has not run after one of its waves has

Cause: found by reading: a job of several steps whose later step was refused was answered 503, though the earlier steps had run. Change: waves are run by the entry service, which says then that the job is incomplete. Tests in test_entry_service.

--- a/currantwell/fleet/dispatcher_links.py
+++ b/currantwell/fleet/dispatcher_links.py
@@ -136,7 +136,7 @@
         told = {
             group: said
             for group, (told_s, said) in self._told.items()
-            if now - told_s < TOLD_FOR_S and said.serving and self._reaches(group, said)
+            if now - told_s < TOLD_FOR_S and said.serving and self._reaches(group)
         }
         for group, local in self._local.items():
             if local.serving:
@@ -233,7 +233,7 @@
                 return remote.channel
         return None
 
-    def _reaches(self, group: EndpointGroup, said: DispatcherTold) -> bool:
+    def _reaches(self, group: EndpointGroup) -> bool:
         channel = self._channel(group)
         return channel is not None and not channel.closed
 
--- a/currantwell/fleet/entry_service.py
+++ b/currantwell/fleet/entry_service.py
@@ -11,6 +11,7 @@
 from .fleet_view import FleetView
 from .job_router import (
     JobDone,
+    JobIncomplete,
     JobNotRun,
     JobOrder,
     JobRouter,
@@ -22,6 +23,8 @@
 
 # A job that is given up later than at half of its time left its caller waiting in vain.
 START_BY_SHARE = 0.45
+# The balancer sends new connections to other hosts by then.
+CLOSING_RETRY_AFTER_S = 1.0
 
 
 class EntryService:
@@ -77,20 +80,26 @@
         self,
         identifier: str,
         route: Route,
-        tasks: Sequence[TaskSpec],
+        waves: Sequence[Sequence[TaskSpec]],
         deadline_s: float,
     ) -> Outcome:
-        """Run tasks that may start now to their end."""
+        """Run a job to its end, each wave of tasks after the one before.
+
+        A job of which a wave has run is not said to have not run.
+        """
         if self.closing:
-            return JobNotRun("this host is about to stop", 1.0)
-        now = now_s()
-        start_by_s = now + START_BY_SHARE * (deadline_s - now)
-        longest_s = max((task.run_time_s or 0.0) for task in tasks)
-        aim_s = now + route.target_s + route.stretch * longest_s
-        order = JobOrder(identifier, route.team, tasks, deadline_s, start_by_s, aim_s)
+            return JobNotRun("this host is about to stop", CLOSING_RETRY_AFTER_S)
         self.in_flight += 1
         try:
-            return await self._router.run(order)
+            outcome: Outcome = JobDone()
+            for number, tasks in enumerate(waves):
+                order = _order_of(identifier, route, tasks, deadline_s)
+                outcome = await self._router.run(order)
+                if isinstance(outcome, JobNotRun) and number > 0:
+                    return JobIncomplete(outcome.detail)
+                if not isinstance(outcome, JobDone):
+                    break
+            return outcome
         finally:
             self.in_flight -= 1
 
@@ -109,3 +118,19 @@
         else:
             kind = type(outcome).__name__
             events.JOB_INCOMPLETE.log(**fields, outcome=kind, detail=outcome.detail)
+
+
+def _order_of(
+    identifier: str, route: Route, tasks: Sequence[TaskSpec], deadline_s: float
+) -> JobOrder:
+    """Return tasks that may start now as an order to the router."""
+    now = now_s()
+    longest_s = max((task.run_time_s or 0.0) for task in tasks)
+    return JobOrder(
+        identifier,
+        route.team,
+        tasks,
+        deadline_s,
+        start_by_s=now + START_BY_SHARE * (deadline_s - now),
+        aim_s=now + route.target_s + route.stretch * longest_s,
+    )
--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -127,7 +127,7 @@
     async def run(self, order: JobOrder) -> Outcome:
         """Run a job to its end; cancelling the call stops it."""
         with trio.move_on_at(order.deadline_s):
-            return await _Running(order, self).run()
+            return await _Running(order, self, self._links).run()
         return JobIncomplete("the deadline passed")
 
     def split(self, tasks: Sequence[TaskSpec]) -> list[_Part]:
@@ -209,10 +209,12 @@
 class _Running:
     """One job under way."""
 
-    def __init__(self, order: JobOrder, router: JobRouter) -> None:
+    def __init__(
+        self, order: JobOrder, router: JobRouter, links: DispatcherLinks
+    ) -> None:
         self._order = order
         self._router = router
-        self._links = router._links
+        self._links = links
         self._parts = 0
         self._not_run = 0
         self._outcome: Outcome | None = None
--- /dev/null
+++ b/tests/fleet/test_entry_service.py
@@ -0,0 +1,53 @@
+"""Entry hosts: waves of tasks, and what is said of a job that stops between them."""
+
+import pytest
+import trio
+
+from currantwell.fleet.entry_service import EntryService
+from currantwell.fleet.job_router import JobDone, JobFailed, JobIncomplete, JobNotRun
+from currantwell.metrics import Metrics
+from currantwell.submission import TaskSpec
+from tests.fleet.builders import a_route
+
+REFUSED = JobNotRun("no room", 1.0)
+WAVES = [[TaskSpec("crew")] * 2, [TaskSpec("crew")]]
+
+
+class Router:
+    """Answers each wave as it is told."""
+
+    def __init__(self, outcomes):
+        self.outcomes = list(outcomes)
+        self.orders = []
+
+    async def run(self, order):
+        self.orders.append(order)
+        return self.outcomes.pop(0)
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "told"),
+    [
+        ([JobDone(), JobDone()], JobDone()),
+        ([REFUSED], REFUSED),
+        ([JobDone(), REFUSED], JobIncomplete("no room")),
+        ([JobFailed("task 0")], JobFailed("task 0")),
+        ([JobIncomplete("late")], JobIncomplete("late")),
+    ],
+)
+async def test_a_wave_follows_one_that_is_done(outcomes, told):
+    router = Router(outcomes)
+    entry = EntryService(None, None, router, Metrics())
+    now = trio.current_time()
+    assert await entry.run("5c0e", a_route(), WAVES, now + 1.5) == told
+    assert [len(order.tasks) for order in router.orders] == [2, 1][: len(outcomes)]
+    assert entry.in_flight == 0
+
+
+async def test_a_closing_host_says_truly_that_nothing_ran():
+    router = Router([])
+    entry = EntryService(None, None, router, Metrics())
+    entry.closing = True
+    outcome = await entry.run("5c0e", a_route(), WAVES, trio.current_time() + 1.5)
+    assert isinstance(outcome, JobNotRun)
+    assert not router.orders
