--- a/currantwell/fleet/groups.py
+++ b/currantwell/fleet/groups.py
@@ -13,7 +13,8 @@
 
 __all__ = ["EndpointGroup", "groups_of"]
 
-# Assumed, not measured: an entry host spends 1.2 ms on a start; a third of a host of half a core is left for
+# Assumed, not measured: an entry host spends 1.2 ms on a start; a third of a host of
+# half a core is left for
 # its clients when three hosts share the 100 starts a second of a group.
 HOSTS_PER_GROUP = 3
 MAX_GROUPS = 64
