--- a/currantwell/fleet/channel.py
+++ b/currantwell/fleet/channel.py
@@ -1,12 +1,14 @@
 """Long-lived connections between hosts that carry messages both ways.
 
 A frame is a length and a MessagePack message. What is sent while a write is under way
-goes out with the next one. A channel that carries nothing for a while is closed, since
-an open connection may have gone silent for good while new ones work. Plain TCP in place
-of `pynng`, which hides the end of a connection: a host that was killed has to be
-noticed at once.
+goes out with the next one. Each end says how often it will say something, often while
+much depends on it and rarely otherwise, and a channel on which the other end breaks its
+word is closed: an open connection may have gone silent for good while new ones work.
+Plain TCP in place of `pynng`, which hides the end of a connection: a host that was
+killed has to be noticed at once.
 """
 
+import math
 from collections.abc import AsyncIterator
 from contextlib import suppress
 
@@ -16,13 +18,14 @@
 from ..clock import now_s
 from .messages import Message, Ping
 
-__all__ = ["Channel", "encode", "open_channel"]
+__all__ = ["PING_S", "Channel", "encode", "open_channel"]
 
-# A quarter of the silence allowed, so that two late ones do no harm; each costs a host
-# with 40 channels 0.1 ms twice.
+# How often an end on which much depends is heard. Each costs both ends a wake-up.
 PING_S = 0.19
-# An assumption, not measured: longer than a loop pauses.
-SILENCE_S = 0.75
+# So many pings may be missing before the other end counts as silent: 0.75 s at the
+# interval above, an assumption, longer than a loop pauses.
+SILENCE_PINGS = 4
+SILENCE_S = SILENCE_PINGS * PING_S
 # One connection set-up lost and sent again takes a second.
 CONNECT_TIMEOUT_S = 1.5
 # A configuration of 256 KiB and a list of 620 endpoints fit many times.
@@ -34,7 +37,6 @@
 
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
-_PING = _encoder.encode(Ping())
 
 
 class Channel:
@@ -44,10 +46,20 @@
     ----------
     stream : trio.SocketStream
         The connection.
+    ping_s : float
+        How often the other end is to hear from this one.
+
+    Attributes
+    ----------
+    closed : bool
+        Whether the channel has ended.
     """
 
-    def __init__(self, stream: trio.abc.Stream) -> None:
+    def __init__(self, stream: trio.abc.Stream, ping_s: float = PING_S) -> None:
         self._stream = stream
+        self._ping_s = ping_s
+        self._promised_s = math.inf
+        self._silence_s = SILENCE_S
         self._unsent = bytearray()
         self._changed = trio.Event()
         self._scope = trio.CancelScope()
@@ -63,6 +75,12 @@
         if not self.closed:
             self._queue(body)
 
+    def ping_every(self, ping_s: float) -> None:
+        """Have the other end hear from this one so often from now on."""
+        self._ping_s = ping_s
+        if ping_s < self._promised_s:
+            self._changed.set()
+
     def close(self) -> None:
         """End the channel."""
         self.closed = True
@@ -74,14 +92,16 @@
         try:
             while not self.closed:
                 data: bytes | bytearray = b""
-                with trio.move_on_after(SILENCE_S):
+                with trio.move_on_after(self._silence_s):
                     data = await self._stream.receive_some(RECEIVE_BYTES)
                 if not data:
                     return
                 buffer += data
                 for frame in _take_frames(buffer):
                     message = _decoder.decode(frame)
-                    if not isinstance(message, Ping):
+                    if isinstance(message, Ping):
+                        self._silence_s = SILENCE_PINGS * message.next_s
+                    else:
                         yield message
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
@@ -103,14 +123,15 @@
                 await trio.aclose_forcefully(self._stream)
 
     async def _send_loop(self) -> None:
-        ping_s = now_s() + PING_S
+        due_s = now_s()
         while True:
-            with trio.move_on_at(ping_s):
+            with trio.move_on_at(due_s):
                 await self._changed.wait()
+            if now_s() >= due_s or self._ping_s < self._promised_s:
+                self._promised_s = self._ping_s
+                self._queue(_encoder.encode(Ping(self._ping_s)))
+            due_s = now_s() + self._promised_s
             self._changed = trio.Event()
-            if now_s() >= ping_s:
-                self._queue(_PING)
-                ping_s = now_s() + PING_S
             data, self._unsent = self._unsent, bytearray()
             await self._stream.send_all(data)
 
@@ -144,7 +165,7 @@
     return _encoder.encode(message)
 
 
-async def open_channel(address: str) -> Channel | None:
+async def open_channel(address: str, ping_s: float = PING_S) -> Channel | None:
     """Connect to ``IP:port``; return None if that fails."""
     host, _, port = address.rpartition(":")
     try:
@@ -152,4 +173,4 @@
             stream = await trio.open_tcp_stream(host, int(port))
     except (OSError, trio.TooSlowError):
         return None
-    return Channel(stream)
+    return Channel(stream, ping_s)
--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -45,6 +45,10 @@
 FORGET_INTERVAL_S = 1.0
 # A host that was lost dials anew within this time.
 DIAL_PAUSE_S = 0.2
+# How often the other hosts hear from a control host of which they have several more.
+CONTROL_PING_S = 0.4
+# Hosts and endpoints that come in quick succession, as at a start, are told together.
+TELL_PAUSE_S = 0.02
 
 
 class ControlService:
@@ -89,6 +93,9 @@
         self._heard: set[EndpointId] = set()
         self._registry_changed = False
         self._state_changed = trio.Event()
+        self._news = trio.Event()
+        self._hosts_changed = False
+        self._fresh_reports: dict[EndpointId, EndpointReport] = {}
         state.changed = self._note_change
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
@@ -100,6 +107,7 @@
             nursery.start_soon(self._lead_loop, nursery)
             nursery.start_soon(self._forget_loop)
             nursery.start_soon(self._tell_loop)
+            nursery.start_soon(self._news_loop)
             task_status.started()
 
     async def drain(self) -> None:
@@ -149,11 +157,13 @@
                 draining=said.draining,
                 url=said.url,
             )
-            self._tell(EndpointsTold((report,)))
+            self._fresh_reports[said.endpoint] = report
+            self._news.set()
             self._registry_changed = True
 
     def leave(self, endpoint: EndpointId) -> None:
         """Take in that an endpoint ends."""
+        self._fresh_reports.pop(endpoint, None)
         if self._registry.leave(endpoint):
             events.ENDPOINT_LEFT.log(endpoint=endpoint)
             self._registry_changed = True
@@ -162,7 +172,7 @@
     # Channels.
 
     async def _accept(self, stream: trio.SocketStream) -> None:
-        await self._talk(Channel(stream))
+        await self._talk(Channel(stream, CONTROL_PING_S))
 
     async def _talk(self, channel: Channel) -> None:
         """Tell a host everything, then what changes, and hear it."""
@@ -181,7 +191,7 @@
     async def _dial_loop(self, address: str) -> None:
         """Keep a channel to another control host."""
         while True:
-            channel = await open_channel(address)
+            channel = await open_channel(address, CONTROL_PING_S)
             if channel is not None:
                 channel.send(self._hello)
                 await self._talk(channel)
@@ -220,7 +230,7 @@
         if not message.dispatches and message.address not in self._controls:
             self._controls.add(message.address)
             self._tell(self._control_hosts())
-        self._tell(self._hosts())
+        self._note_hosts()
 
     def _host_silent(self, hello: HostHello) -> None:
         still = any(
@@ -229,7 +239,11 @@
         )
         if not still:
             events.HOST_SILENT.log(host=hello.host, incarnation=hello.incarnation)
-            self._tell(self._hosts())
+            self._note_hosts()
+
+    def _note_hosts(self) -> None:
+        self._hosts_changed = True
+        self._news.set()
 
     def _refresh_sightings(self) -> None:
         """Count each host with a channel as heard, since silent ones are closed."""
@@ -282,6 +296,19 @@
                 self._tell(ConfigurationTold(self._state.configuration))
             self._tell(OwnershipsTold(tuple(self._state.ownerships)))
 
+    async def _news_loop(self) -> None:
+        while True:
+            await self._news.wait()
+            await trio.sleep(TELL_PAUSE_S)
+            self._news = trio.Event()
+            if self._hosts_changed:
+                self._hosts_changed = False
+                self._tell(self._hosts())
+            if self._fresh_reports:
+                reports = tuple(self._fresh_reports.values())
+                self._fresh_reports.clear()
+                self._tell(EndpointsTold(reports))
+
     # Leading.
 
     async def _lead_loop(self, nursery: trio.Nursery) -> None:
--- a/currantwell/fleet/dispatcher_links.py
+++ b/currantwell/fleet/dispatcher_links.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Callable
 from functools import partial
 
@@ -17,7 +18,7 @@
 from ..kernel import ServiceName
 from ..metrics import HostLoad
 from ..submission import Submission
-from .channel import Channel, encode, open_channel
+from .channel import PING_S, Channel, encode, open_channel
 from .fleet_state import Ownership
 from .fleet_view import FleetView
 from .groups import EndpointGroup
@@ -42,7 +43,16 @@
 TELL_INTERVAL_PER_HOST_S = 0.0025
 # What a dispatcher told long ago says nothing of its room now.
 TOLD_FOR_S = 1.0
-REPEAT_S = TOLD_FOR_S / 4
+# Just before a ping would be due, in the place of which it counts.
+REPEAT_S = 0.8 * PING_S
+# With many hosts each hears less often; three repeats are within `TOLD_FOR_S` still.
+REPEAT_PER_HOST_S = 0.01
+MAX_REPEAT_S = 0.3
+# How often a dispatcher hears from a host of which it runs nothing.
+IDLE_PING_S = 1.0
+# A data centre elsewhere hears of a change of room by this share at least: it sends
+# work over only when its own has none.
+FAR_CHANGE_SHARE = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,7 +102,7 @@
         self._told: dict[EndpointGroup, tuple[float, DispatcherTold]] = {}
         self._waiters: dict[Channel | None, dict[int, _Waiter]] = {None: {}}
         self._requests = 0
-        self._accepted: set[Channel] = set()
+        self._accepted: dict[Channel, HostHello | None] = {}
         self._wake = trio.Event()
         self._draining = False
         self._nursery: trio.Nursery | None = None
@@ -191,11 +201,14 @@
         waiter = _Waiter(trio.Event(), unknown)
         waiters = self._waiters.setdefault(channel, {})
         waiters[request] = waiter
+        channel.ping_every(PING_S)
         channel.send(RunJob(request, group, submission))
         try:
             await waiter.ended.wait()
         finally:
             waiters.pop(request, None)
+            if not waiters:
+                channel.ping_every(IDLE_PING_S)
             if not waiter.ended.is_set():
                 channel.send(CancelJob(request))
         return waiter.answer
@@ -222,6 +235,7 @@
             if address is not None and address not in self._remote:
                 remote = self._remote[address] = _RemoteHost(owned.host, address)
                 nursery.start_soon(self._dial_loop, remote)
+        self._view.dispatching(bool(self._local))
 
     def _channel(self, group: EndpointGroup) -> Channel | None:
         """Return the channel to the owner, also while no control host hears it."""
@@ -241,7 +255,7 @@
 
     async def _dial_loop(self, remote: _RemoteHost) -> None:
         while True:
-            channel = await open_channel(remote.address)
+            channel = await open_channel(remote.address, IDLE_PING_S)
             if channel is not None:
                 channel.send(self._hello)
                 async with trio.open_nursery() as nursery:
@@ -275,19 +289,21 @@
         scopes: dict[int, trio.CancelScope] = {}
         async with trio.open_nursery() as nursery:
             nursery.start_soon(channel.run)
-            self._accepted.add(channel)
+            self._accepted[channel] = None
             for local in self._local.values():
                 channel.send(local.told())
             try:
                 async for message in channel.messages():
                     match message:
+                        case HostHello():
+                            self._accepted[channel] = message
                         case RunJob():
                             nursery.start_soon(self._serve, channel, message, scopes)
                         case CancelJob(request):
                             if request in scopes:
                                 scopes[request].cancel()
             finally:
-                self._accepted.discard(channel)
+                del self._accepted[channel]
                 nursery.cancel_scope.cancel()
 
     async def _serve(
@@ -313,19 +329,52 @@
                 del scopes[message.request]
 
     async def _tell_loop(self) -> None:
-        last: dict[EndpointGroup, DispatcherTold] = {}
-        sent_s: dict[EndpointGroup, float] = {}
+        """Tell other hosts of the room here, those of this data centre in detail."""
+        told = {True: _LastTold(), False: _LastTold()}
         while True:
             many_s = TELL_INTERVAL_PER_HOST_S * len(self._accepted)
             await trio.sleep(max(TELL_INTERVAL_S, many_s))
-            fresh = {place: local.told() for place, local in self._local.items()}
-            now = now_s()
-            for group, said in fresh.items():
-                before = last.get(group)
-                if before == said and now - sent_s.get(group, 0.0) < REPEAT_S:
-                    continue
-                sent_s[group] = now
-                body = encode(said)
-                for channel in self._accepted:
-                    channel.send_encoded(body)
-            last = fresh
+            audience: dict[bool, list[Channel]] = {True: [], False: []}
+            for channel, hello in self._accepted.items():
+                near = hello is None or hello.data_centre == self._hello.data_centre
+                audience[near].append(channel)
+            many_s = REPEAT_PER_HOST_S * len(self._accepted)
+            repeat_s = min(max(REPEAT_S, many_s), MAX_REPEAT_S)
+            for local in self._local.values():
+                said = local.told()
+                for near, channels in audience.items():
+                    if channels and told[near].is_news(said, repeat_s, exact=near):
+                        body = encode(said)
+                        for channel in channels:
+                            channel.ping_every(max(PING_S, repeat_s))
+                            channel.send_encoded(body)
+
+
+class _LastTold:
+    """What an audience was told last of each group, and when."""
+
+    def __init__(self) -> None:
+        self._last: dict[EndpointGroup, tuple[float, DispatcherTold]] = {}
+
+    def is_news(self, said: DispatcherTold, repeat_s: float, exact: bool) -> bool:
+        """Tell whether something is worth telling now, and if so count it as told."""
+        now = now_s()
+        sent_s, before = self._last.get(said.group, (-math.inf, None))
+        if now - sent_s < repeat_s and before is not None:
+            changed = said != before if exact else _much_changed(before, said)
+            if not changed:
+                return False
+        self._last[said.group] = (now, said)
+        return True
+
+
+def _much_changed(before: DispatcherTold, said: DispatcherTold) -> bool:
+    """Tell whether a host that rarely sends work there would decide otherwise."""
+    if (before.epoch, before.serving) != (said.epoch, said.serving):
+        return True
+    if (before.free == 0) != (said.free == 0):
+        return True
+    room = abs(said.free - before.free)
+    wait_s = abs(said.waiting_s - before.waiting_s)
+    least = FAR_CHANGE_SHARE * max(1, said.slots)
+    return room >= least or wait_s >= FAR_CHANGE_SHARE * max(1.0, before.waiting_s)
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -13,7 +13,7 @@
 from ..clock import now_s
 from ..ids import EndpointId, HostId
 from ..kernel import ServiceName
-from .channel import Channel, open_channel
+from .channel import PING_S, Channel, open_channel
 from .fleet_state import Ownership
 from .groups import EndpointGroup
 from .messages import (
@@ -33,6 +33,9 @@
 __all__ = ["FleetView", "KnownEndpointReport"]
 
 DIAL_PAUSE_S = 0.1
+# How often a control host hears from a host on which nothing depends; one that
+# dispatches is heard as often as any channel allows, lest its loss be noticed late.
+IDLE_PING_S = 0.4
 
 
 class KnownEndpointReport:
@@ -73,6 +76,7 @@
         self._routes = RouteTable()
         self._ownerships: dict[EndpointGroup, Ownership] = {}
         self._hosts: dict[Channel, dict[HostId, HostHello]] = {}
+        self._ping_s = IDLE_PING_S
         self._addresses = set(seeds)
         self._new_address = trio.Event()
 
@@ -108,6 +112,15 @@
         for channel in self._hosts:
             channel.send(hello)
 
+    def dispatching(self, dispatching: bool) -> None:
+        """Have control hosts hear from this host as often as its role asks for."""
+        ping_s = PING_S if dispatching else IDLE_PING_S
+        if ping_s == self._ping_s:
+            return
+        self._ping_s = ping_s
+        for channel in self._hosts:
+            channel.ping_every(self._ping_s)
+
     def forget(self, endpoint: EndpointId) -> None:
         """Forget an endpoint that is silent to everyone."""
         self.endpoints.pop(endpoint, None)
@@ -129,7 +142,7 @@
 
     async def _follow(self, address: str) -> None:
         while True:
-            channel = await open_channel(address)
+            channel = await open_channel(address, self._ping_s)
             if channel is not None:
                 events.CONTROL_FOUND.log(address=address)
                 await self._listen(channel)
--- a/currantwell/fleet/messages.py
+++ b/currantwell/fleet/messages.py
@@ -55,7 +55,15 @@
 
 
 class Ping(msgspec.Struct, frozen=True, tag="ping"):
-    """Says that the sender runs and the connection works."""
+    """Says that the sender runs and the connection works.
+
+    Parameters
+    ----------
+    next_s : float
+        How soon the sender will say something again.
+    """
+
+    next_s: float
 
 
 class HostHello(msgspec.Struct, frozen=True, tag="hello"):
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -100,6 +100,7 @@
         self._delayed: list[tuple[float, int, WaitingTask]] = []
         self._delays = 0
         self._newest: TaskSpec | None = None
+        self._room: Room | None = None
 
     @property
     def endpoints(self) -> Sequence[EndpointLoad]:
@@ -113,6 +114,11 @@
 
     def room(self) -> Room:
         """Return how much more could start, in tasks like the newest one."""
+        if self._room is None:
+            self._room = self._count_room()
+        return self._room
+
+    def _count_room(self) -> Room:
         loads = [load for load in self._endpoints.values() if load.usable()]
         spec = self._newest
         if spec is None:
@@ -145,6 +151,7 @@
         """
         if not attempts:
             return
+        self._room = None
         self._newest = request.tasks[0]
         group = JobGroup(request.job, request.team, now_s, aim_s=request.aim_s)
         tasks = [
@@ -167,6 +174,7 @@
 
     def hold(self, ref: AttemptRef, endpoint: EndpointId, task: WaitingTask) -> None:
         """Count an attempt that an endpoint was found to hold."""
+        self._room = None
         task.started_s = max(task.started_s, task.since_s)
         self._placed[ref] = (endpoint, task)
         if endpoint in self._endpoints:
@@ -176,8 +184,11 @@
         """Take in what an endpoint says of itself."""
         load = self._endpoints.get(announcement.endpoint)
         if load is not None:
+            if _offers(load.announcement) != _offers(announcement):
+                self._room = None
             load.announcement = announcement
             return
+        self._room = None
         load = self._endpoints[announcement.endpoint] = EndpointLoad(announcement)
         load.speed = self._policies.estimates.speed(load.id)
         for ref, (endpoint, task) in self._placed.items():
@@ -187,11 +198,14 @@
 
     def endpoint_reachable(self, endpoint: EndpointId, reachable: bool) -> None:
         """Note whether an endpoint answers; one that does not gets no start."""
-        if endpoint in self._endpoints:
-            self._endpoints[endpoint].reachable = reachable
+        load = self._endpoints.get(endpoint)
+        if load is not None and load.reachable != reachable:
+            load.reachable = reachable
+            self._room = None
 
     def endpoint_removed(self, endpoint: EndpointId) -> None:
         """Forget an endpoint; its attempts stay placed until they end."""
+        self._room = None
         self._endpoints.pop(endpoint, None)
         self._policies.ejection.forget(endpoint)
 
@@ -200,6 +214,7 @@
         self._release_delayed(now_s)
         if not self._backlog.tasks:
             return []
+        self._room = None
         preset = self._presets.preset()
         ordered = sorted(self._endpoints.values(), key=_slowness)
         self._limit(ordered, now_s)
@@ -224,6 +239,7 @@
         endpoint, task = self._placed.pop(ref, (None, None))
         if endpoint is None or task is None:
             return
+        self._room = None
         load = self._endpoints.get(endpoint)
         if load is not None:
             load.release(ref)
@@ -284,6 +300,7 @@
 
     def remove(self, job: JobId) -> None:
         """Take all waiting tasks of a job out of the queue."""
+        self._room = None
         for task in self._waiting.pop(job, {}).values():
             self._policies.ordering.discard(task)
             self._backlog.remove(task)
@@ -411,3 +428,14 @@
 
 def _slowness(load: EndpointLoad) -> float:
     return -load.speed
+
+
+def _offers(said: Announcement) -> tuple[float, ...]:
+    """Return what of an announcement decides how much an endpoint holds."""
+    return (
+        said.slots,
+        said.processors,
+        said.memory_mb,
+        said.accelerators,
+        said.draining,
+    )
--- a/tests/fleet/test_channel.py
+++ b/tests/fleet/test_channel.py
@@ -3,8 +3,8 @@
 import trio
 import trio.testing
 
-from currantwell.fleet.channel import PING_S, SILENCE_S, Channel
-from currantwell.fleet.messages import CancelJob, ConfigurationTold
+from currantwell.fleet.channel import PING_S, SILENCE_S, Channel, encode
+from currantwell.fleet.messages import CancelJob, ConfigurationTold, Ping
 from tests.fleet.builders import a_configuration
 
 
@@ -48,6 +48,42 @@
     assert trio.current_time() - began_s <= SILENCE_S + PING_S
 
 
+async def test_an_end_that_promised_little_may_stay_silent_longer(
+    autojump_clock, nursery
+):
+    near, far = trio.testing.memory_stream_pair()
+    rare, other = Channel(near, ping_s=10 * PING_S), Channel(far)
+    nursery.start_soon(rare.run)
+    nursery.start_soon(other.run)
+    nursery.start_soon(listen, other, [])
+    await trio.sleep(30 * PING_S)
+    assert not other.closed
+
+
+async def test_an_end_that_promised_more_is_soon_missed(autojump_clock, nursery):
+    near, far = trio.testing.memory_stream_pair()
+    other = Channel(far)
+    nursery.start_soon(other.run)
+    for next_s in (10 * PING_S, PING_S):
+        body = encode(Ping(next_s))
+        await near.send_all(len(body).to_bytes(4, "big") + body)
+    began_s = trio.current_time()
+    await listen(other, [])
+    assert trio.current_time() - began_s <= SILENCE_S + PING_S
+
+
+async def test_a_hurried_end_says_so_at_once(autojump_clock, nursery):
+    near, far = map(Channel, trio.testing.memory_stream_pair())
+    near.ping_every(10 * PING_S)
+    nursery.start_soon(near.run)
+    nursery.start_soon(far.run)
+    nursery.start_soon(listen, far, [])
+    await trio.sleep(PING_S)
+    near.ping_every(PING_S)
+    await trio.testing.wait_all_tasks_blocked(0.01)
+    assert far._silence_s == SILENCE_S
+
+
 async def test_what_is_no_message_closes_the_channel():
     near, far = trio.testing.memory_stream_pair()
     channel = Channel(far)
