Pass over a host found silent when a second copy is looked for

Cause, from the log lines of test_scenario[primary_killed] with times: the successor was primary 2.4 s after the kill and found its backup 1.8 s later. It asked the dead primary first, twice, half a second each, since the failure detector of the leader that had just been elected suspected no one yet.

Ruled out: the election (1.35 s), the takeover (1.5 s of silence) and the view change (0.03 s) themselves, which the bound of 5 s allows for.

Change: who takes over, or gets no first answer, passes that host by for 2 s.

--- a/currantwell/backup_care.py
+++ b/currantwell/backup_care.py
@@ -35,6 +35,9 @@
 REPAIR_PAUSE_S = 2.0
 AWAY_AFTER_S = 0.2
 FIRST_ANSWER_S = 0.5
+# The failure detector of a new leader suspects no one for its first 1.5 s; a host that
+# was found silent here is passed over until then.
+SILENT_FOR_S = 2.0
 COPIES = 2
 
 
@@ -122,6 +125,7 @@
         self._limits = limits
         self._leaving: dict[tuple[DataCentre, HostId], float] = {}
         self._endpoints: dict[DataCentre, tuple[Announcement, ...]] = {}
+        self._silent: dict[HostId, float] = {}
         peers.handle(BackupLeaves, self._note_leave)
         peers.handle(EndpointsKnown, self._note_endpoints)
 
@@ -129,6 +133,10 @@
         """Return the endpoints that the last primary used, as far as it told."""
         return self._endpoints.get(data_centre, ())
 
+    def note_silent(self, host: HostId) -> None:
+        """Ask a host that does not answer for nothing for a while."""
+        self._silent[host] = now_s()
+
     async def look_after(self, acting: Acting) -> None:
         """Drop a backup that is gone; find one where there is none."""
         while True:
@@ -212,7 +220,12 @@
         copies are asked for; one of this data centre takes its place later.
         """
         data_centre, backup = acting.view.data_centre, acting.view.backup
-        able = set(self._hosts) - {self._host, backup} - self._steps.suspects()
+        silent = {
+            host
+            for host, noted_s in self._silent.items()
+            if now_s() - noted_s < SILENT_FOR_S
+        }
+        able = set(self._hosts) - {self._host, backup} - self._steps.suspects() - silent
         near = sorted(host for host in able if self._hosts[host] == data_centre)
         if backup is not None:
             return [] if self._hosts[backup] == data_centre else near
@@ -245,6 +258,8 @@
             if silent_s == tried_s:
                 patience_s = FIRST_ANSWER_S
             if silent_s > patience_s or self.draining:
+                if silent_s == tried_s:
+                    self.note_silent(host)
                 acting.log.unfollow(host)
                 return
         number = Epoch(acting.view.number + 1)
--- a/currantwell/roles.py
+++ b/currantwell/roles.py
@@ -204,6 +204,7 @@
             await self._steps.vouch_by_rule(view, store)
             if self._steps.may_propose(view, store):
                 events.TAKEOVER_PROPOSED.log(view=view.number, primary=view.primary)
+                self._care.note_silent(view.primary)
                 await self._steps.propose(store, self._steps.alone_after(view))
             silent_s = 0.0
 
