Wake idle hosts less often

Change: telling of room waits for a dispatcher, the look at ownerships for a change; control hosts and hosts on which nothing depends ping every 0.8 s.

--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -43,10 +43,13 @@
 # An assumption, not measured: long enough for a disk that stalls for a moment.
 OWNER_TIMEOUT_S = 2.0
 FORGET_INTERVAL_S = 1.0
+# Endpoints are forgotten after 6 s and more of silence, whoever heard them last.
+HEARD_INTERVAL_S = 2.0
 # A host that was lost dials anew within this time.
 DIAL_PAUSE_S = 0.2
-# How often the other hosts hear from a control host of which they have several more.
-CONTROL_PING_S = 0.4
+# How often the other hosts hear from a control host: they have several more, and what
+# changes comes from each of them.
+CONTROL_PING_S = 0.8
 # Hosts and endpoints that come in quick succession, as at a start, are told together.
 TELL_PAUSE_S = 0.02
 
@@ -345,9 +348,11 @@
         )
 
     async def _forget_loop(self) -> None:
+        told_s = now_s()
         while True:
             await trio.sleep(FORGET_INTERVAL_S)
-            if self._heard:
+            if self._heard and now_s() - told_s >= HEARD_INTERVAL_S:
+                told_s = now_s()
                 self._tell(EndpointsHeard(tuple(self._heard)))
                 self._heard.clear()
             if self._registry_changed:
--- a/currantwell/fleet/dispatcher_links.py
+++ b/currantwell/fleet/dispatcher_links.py
@@ -34,7 +34,8 @@
 
 __all__ = ["DispatcherLinks"]
 
-CHECK_INTERVAL_S = 0.1
+# Changes wake the loop; this is for what no one tells of.
+CHECK_INTERVAL_S = 0.5
 # A connection between data centres is set up in 3 ms.
 DIAL_PAUSE_S = 0.05
 # Half of the shortest task seen, so that room is known while it lasts.
@@ -104,6 +105,7 @@
         self._requests = 0
         self._accepted: dict[Channel, HostHello | None] = {}
         self._wake = trio.Event()
+        self._dispatching = trio.Event()
         self._draining = False
         self._nursery: trio.Nursery | None = None
         view.changed = self._note_change
@@ -230,6 +232,7 @@
                 if local is None and not self._draining:
                     local = self._local[owned.group] = self._make_local(owned)
                     nursery.start_soon(local.run)
+                    self._dispatching.set()
                 continue
             address = self._view.address_of(owned)
             if address is not None and address not in self._remote:
@@ -332,6 +335,9 @@
         """Tell other hosts of the room here, those of this data centre in detail."""
         told = {True: _LastTold(), False: _LastTold()}
         while True:
+            if not self._local:
+                self._dispatching = trio.Event()
+                await self._dispatching.wait()
             many_s = TELL_INTERVAL_PER_HOST_S * len(self._accepted)
             await trio.sleep(max(TELL_INTERVAL_S, many_s))
             audience: dict[bool, list[Channel]] = {True: [], False: []}
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -35,7 +35,7 @@
 DIAL_PAUSE_S = 0.1
 # How often a control host hears from a host on which nothing depends; one that
 # dispatches is heard as often as any channel allows, lest its loss be noticed late.
-IDLE_PING_S = 0.4
+IDLE_PING_S = 0.8
 
 
 class KnownEndpointReport:
