Offer labels, racks and a limit of tasks on an endpoint

Cause: steps with required_label or max_per_server were refused, and the rack of the data was not heeded, although dispatch has all that they need.

Change: tasks name a label, a rack and a spread; endpoints announce labels; an endpoint counts the tasks of a spread, over the parts of a job; a part that one dispatcher can never run goes to another one and is refused once none can. The two rows of the test of what is not offered became tests of what is; each new test fails without its change. What is equal to its default is left out of encoded tasks.

--- a/currantwell/endpoint_load.py
+++ b/currantwell/endpoint_load.py
@@ -4,6 +4,8 @@
 telling whether a task fits takes constant time.
 """
 
+from collections import Counter
+
 from .endpoint_protocol import Announcement, AttemptRef
 from .ids import EndpointId
 from .submission import TaskSpec
@@ -29,6 +31,7 @@
         and spec.data_centre in (None, said.data_centre)
         and spec.endpoint in (None, said.endpoint)
         and spec.pool in (None, said.pool)
+        and (spec.label is None or spec.label in said.labels)
     )
 
 
@@ -56,6 +59,7 @@
         "_accelerators",
         "_memory_mb",
         "_processors",
+        "_spread",
         "announcement",
         "id",
         "limit",
@@ -76,6 +80,7 @@
         self._processors = 0.0
         self._memory_mb = 0
         self._accelerators = 0
+        self._spread: Counter[str | None] = Counter()
 
     def free(self) -> int:
         """Return how many more attempts it may be given."""
@@ -117,8 +122,15 @@
             and self._processors + spec.processors <= said.processors
             and self._memory_mb + spec.memory_mb <= said.memory_mb
             and self._accelerators + spec.accelerators <= said.accelerators
+            and not self._spread_out(spec)
         )
 
+    def _spread_out(self, spec: TaskSpec) -> bool:
+        """Tell whether it runs as many tasks of a kind as may run on one endpoint."""
+        if not spec.max_per_endpoint:
+            return False
+        return self._spread[spec.spread] >= spec.max_per_endpoint
+
     def hold(self, ref: AttemptRef, task: WaitingTask) -> None:
         """Count an attempt."""
         self.running[ref] = task
@@ -135,4 +147,8 @@
         self._processors += sign * spec.processors
         self._memory_mb += sign * spec.memory_mb
         self._accelerators += sign * spec.accelerators
+        if spec.max_per_endpoint:
+            self._spread[spec.spread] += sign
+            if not self._spread[spec.spread]:
+                del self._spread[spec.spread]
         self.long_tasks += sign * task.long
--- a/currantwell/endpoint_protocol.py
+++ b/currantwell/endpoint_protocol.py
@@ -41,6 +41,7 @@
     "check_announcement",
 ]
 
+MAX_LABELS = 32
 MAX_SLOTS = 10_000
 MAX_PROCESSORS = 100_000.0
 MAX_MEMORY_MB = 2**40
@@ -86,6 +87,8 @@
         Processor cores in use, as last measured; lags.
     pool : str or None
         The pool that it belongs to, if endpoints are divided into pools.
+    labels : tuple of str
+        What tasks may ask for.
     """
 
     endpoint: EndpointId
@@ -102,6 +105,7 @@
     draining: bool = False
     used_processors: float = 0.0
     pool: str | None = None
+    labels: tuple[str, ...] = ()
 
 
 def check_announcement(announcement: Announcement) -> Announcement:
@@ -115,6 +119,10 @@
     check_name("endpoint", announcement.endpoint)
     check_name("incarnation", announcement.incarnation)
     check_name("rack", announcement.rack or "none")
+    if len(announcement.labels) > MAX_LABELS:
+        raise InvalidRequest("labels", f"are more than {MAX_LABELS}")
+    for label in announcement.labels:
+        check_name("labels", label)
     _check_url(announcement.url)
     for field, low, high in (
         ("slots", 1, MAX_SLOTS),
--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import random
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 
 import trio
 
@@ -130,9 +130,18 @@
             return await _Running(order, self, self._links).run()
         return JobIncomplete("the deadline passed")
 
-    def split(self, tasks: Sequence[TaskSpec]) -> list[_Part]:
-        """Divide tasks among the dispatchers with room; empty if there is none."""
-        room = {group: told for group, told in self._links.room().items() if told.slots}
+    def split(
+        self, tasks: Sequence[TaskSpec], unable: Container[EndpointGroup] = ()
+    ) -> list[_Part]:
+        """Divide tasks among the dispatchers with room; empty if there is none.
+
+        Those that are unable to run them are left out.
+        """
+        room = {
+            group: told
+            for group, told in self._links.room().items()
+            if told.slots and group not in unable
+        }
         if not room:
             return []
         whole = self._place_for(len(tasks), room)
@@ -240,6 +249,7 @@
 
     async def _run_part(self, part: _Part, scope: trio.CancelScope) -> None:
         outcome: Outcome = JobNotRun("no dispatcher took it", RETRY_AFTER_S)
+        unable: set[EndpointGroup] = set()
         while True:
             told = await self._links.run_job(
                 part.group, self._router.submission(self._order, part)
@@ -265,15 +275,24 @@
                 wait_s = max(told.retry_after_s, RETRY_AFTER_S)
                 if not isinstance(outcome, JobIncomplete):
                     outcome = JobNotRun(f"{told.code.name}: {told.detail}", wait_s)
-                await trio.sleep(REFUSED_PAUSE_S)
+                if told.code is ResultCode.NOT_RUN_IMPOSSIBLE:
+                    unable.add(part.group)
+                    if unable.issuperset(self._links.room()):
+                        break
+                else:
+                    await trio.sleep(REFUSED_PAUSE_S)
                 if now_s() >= self._order.start_by_s:
                     break
-            part = self._elsewhere(part)
+            part = self._elsewhere(part, unable)
         self._end(outcome, scope)
 
-    def _elsewhere(self, part: _Part) -> _Part:
-        again = self._router.split(part.tasks)
-        return again[0] if len(again) == 1 else part
+    def _elsewhere(self, part: _Part, unable: Container[EndpointGroup]) -> _Part:
+        again = self._router.split(part.tasks, unable)
+        if len(again) == 1:
+            return again[0]
+        if again and part.group in unable:
+            return _Part(again[0].group, part.tasks)
+        return part
 
     def _end(self, outcome: Outcome, scope: trio.CancelScope) -> None:
         if isinstance(outcome, JobNotRun):
--- a/currantwell/placement.py
+++ b/currantwell/placement.py
@@ -69,7 +69,7 @@
         """Choose one of the endpoints with room, fastest first, or to wait."""
         if self._cap_long and task.long and self._long_left <= 0:
             return Choice(None, Reason.LONG_SHARE)
-        choice = self._choose(task, room, now_s)
+        choice = self._choose(task, _nearest(task, room), now_s)
         if choice.endpoint is not None:
             self._long_left -= task.long
             self._note_run(task)
@@ -126,3 +126,11 @@
     def _note_run(self, task: WaitingTask) -> None:
         step = task.estimate_s - self._usual_run_s
         self._usual_run_s += step / RUN_MEMORY_TASKS
+
+
+def _nearest(task: WaitingTask, room: Sequence[EndpointLoad]) -> Sequence[EndpointLoad]:
+    """Return the endpoints beside the task's data, all of them if there is none."""
+    rack = task.spec.rack
+    if rack is None:
+        return room
+    return [load for load in room if load.announcement.rack == rack] or room
--- a/currantwell/submission.py
+++ b/currantwell/submission.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from .errors import BodyMalformed, InvalidRequest
-from .ids import DataCentre, EndpointId, JobKey, Team, check_name, home_of
+from .ids import DataCentre, EndpointId, JobKey, Rack, Team, check_name, home_of
 
 __all__ = [
     "MAX_BODY_BYTES",
@@ -49,7 +49,9 @@
     IF_OVER = "if_over"
 
 
-class TaskSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class TaskSpec(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True
+):
     """One task of a job.
 
     Parameters
@@ -76,6 +78,15 @@
         Pool of endpoints asked for.
     max_failures : int
         After so many failed attempts the task has failed.
+    label : str or None
+        Label that the endpoint must have.
+    rack : str or None
+        Rack in which the task's data lies; a wish.
+    spread : str or None
+        Names the tasks of which an endpoint runs `max_per_endpoint` at most, over all
+        jobs that use the name.
+    max_per_endpoint : int
+        How many tasks of `spread` run on one endpoint at the same time; 0 for any.
     """
 
     kind: str
@@ -89,6 +100,10 @@
     endpoint: EndpointId | None = None
     pool: str | None = None
     max_failures: int = 3
+    label: str | None = None
+    rack: Rack | None = None
+    spread: str | None = None
+    max_per_endpoint: int = 0
 
 
 class Submission(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -177,6 +192,10 @@
         check_name(f"{prefix}.data_centre", task.data_centre)
     if task.endpoint is not None:
         check_name(f"{prefix}.endpoint", task.endpoint)
+    for field in ("label", "rack", "spread"):
+        if getattr(task, field) is not None:
+            check_name(f"{prefix}.{field}", getattr(task, field))
+    _check_range(f"{prefix}.max_per_endpoint", task.max_per_endpoint, 0, MAX_TASKS)
     _check_payload(f"{prefix}.payload", task.payload)
     if task.run_time_s is not None:
         _check_range(f"{prefix}.run_time_s", task.run_time_s, 0.0, MAX_DEADLINE_S)
--- a/currantwell/waiting.py
+++ b/currantwell/waiting.py
@@ -10,7 +10,9 @@
 
 __all__ = ["JobGroup", "JobRequest", "PlacedTask", "Shape", "WaitingTask", "shape_of"]
 
-Shape = tuple[float, int, int, str | None, str | None, str | None]
+Shape = tuple[
+    float, int, int, str | None, str | None, str | None, str | None, str | None
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,7 +115,7 @@
     estimate_s: float = 0.0
     long: bool = False
     group: JobGroup | None = None
-    shape: Shape = (1.0, 0, 0, None, None, None)
+    shape: Shape = (1.0, 0, 0, None, None, None, None, None)
     started_s: float = 0.0
     passed_s: float | None = None
 
@@ -141,4 +143,6 @@
         spec.data_centre,
         spec.endpoint,
         spec.pool,
+        spec.label,
+        spec.spread,
     )
--- a/tests/cooperative/test_wire.py
+++ b/tests/cooperative/test_wire.py
@@ -137,8 +137,7 @@
         {"long_running": True},
         {"repeat_count": 3},
         {"steps": [{"count": 2, "gang_scheduled": True}]},
-        {"steps": [{"count": 2, "required_label": "b"}]},
-        {"steps": [{"count": 2, "max_per_server": 1}]},
+        {"steps": [{"count": 2, "fills": True}]},
     ],
     ids=str,
 )
@@ -147,6 +146,21 @@
     assert decode_job(encoded(JOB, **changes)).unsupported()
 
 
+def test_what_a_step_asks_of_a_worker_is_kept():
+    (route,) = decode_configuration(encoded(CONFIGURATION)).routes
+    asked = {"required_label": "b", "affinity": "r1-3", "max_per_server": 1}
+    job = decode_job(encoded(JOB, steps=[{"count": 2, **asked}]))
+    assert job.unsupported() is None
+    first, second = tasks_of(job, 0, "5c0e", route)
+    assert (first.label, first.rack, first.max_per_endpoint) == ("b", "r1-3", 1)
+    assert first.spread == second.spread == "5c0e.0"
+
+
+def test_labels_are_those_of_the_worker():
+    body = encoded(HEARTBEAT, labels=["b", "r1-3"])
+    assert decode_heartbeat("i-1", body).announcement.labels == ("b", "r1-3")
+
+
 def test_steps_run_after_those_that_they_need():
     steps = [{"count": 1}, {"count": 1, "after": [0]}, {"count": 1}]
     job = decode_job(encoded(JOB, steps=steps))
--- a/tests/fleet/test_job_router.py
+++ b/tests/fleet/test_job_router.py
@@ -135,6 +135,24 @@
     assert links.cancelled == 2
 
 
+async def test_what_one_dispatcher_can_never_run_goes_to_another(autojump_clock):
+    links = Links(valdres=4, hallingdal=4)
+    links.codes = [ResultCode.NOT_RUN_IMPOSSIBLE]
+    links.run_s = 0.0
+    assert await run(links) == JobDone()
+    assert places(links) == [(HOME, 4), (AWAY, 4)]
+
+
+async def test_what_none_can_ever_run_is_refused_at_once(autojump_clock):
+    links = Links(valdres=4, hallingdal=4)
+    links.codes = [ResultCode.NOT_RUN_IMPOSSIBLE] * 2
+    links.run_s = 0.0
+    began_s = trio.current_time()
+    assert isinstance(await run(links), JobNotRun)
+    assert trio.current_time() == began_s
+    assert len(links.sent) == 2
+
+
 @pytest.mark.parametrize("comes_after_s", [0.3, 5.0])
 async def test_a_job_waits_a_while_for_a_dispatcher(
     autojump_clock, nursery, comes_after_s
--- a/tests/test_endpoint_protocol.py
+++ b/tests/test_endpoint_protocol.py
@@ -55,4 +55,4 @@
         if field.default is msgspec.NODEFAULT:
             assert shown == ""
         else:
-            assert json.loads(shown) == field.default
+            assert json.loads(shown) == json.loads(json.dumps(field.default))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -67,3 +67,10 @@
     choices = [placement.choose(task, loads, 0.0) for _ in range(8)]
     assert sum(choice.endpoint is not None for choice in choices) == 6
     assert choices[-1].reason is Reason.LONG_SHARE
+
+
+def test_a_task_goes_to_the_rack_of_its_data_where_there_is_room(loads):
+    near = endpoint_load("near", FAST, rack="r1-3")
+    task = waiting_task(estimate_s=0.2, rack="r1-3")
+    assert choose([*loads, near], task).endpoint is near
+    assert choose([*loads, near], task, room=loads).endpoint is loads[0]
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -148,3 +148,30 @@
     found = dataclasses.replace(placed.task, started_s=0.0)
     scheduler.hold(placed.ref, "e", found)
     assert found.started_s == 10.0
+
+
+def test_a_task_goes_only_where_its_label_is(scheduler):
+    earn_trust(scheduler)
+    add(scheduler, tasks=2, label="b")
+    assert scheduler.plan(0.0) == []
+    announce(scheduler, "labelled", labels=("b", "r1-3"))
+    assert {item.endpoint for item in scheduler.plan(0.0)} == {"labelled"}
+
+
+def test_no_more_tasks_of_a_spread_on_an_endpoint_than_it_says(scheduler):
+    earn_trust(scheduler)
+    add(scheduler, "first", tasks=4, spread="5c0e.0", max_per_endpoint=2)
+    (one, two) = scheduler.plan(0.0)
+    add(scheduler, "second part", tasks=1, spread="5c0e.0", max_per_endpoint=2)
+    assert scheduler.plan(0.0) == []
+    scheduler.ended(one.ref, ResultCode.COMPLETE, 0.2, 0.1)
+    assert len(scheduler.plan(0.1)) == 1
+    scheduler.ended(two.ref, ResultCode.COMPLETE, 0.2, 0.2)
+    assert len(scheduler.plan(0.2)) == 1
+
+
+def test_another_spread_has_room_of_its_own(scheduler):
+    earn_trust(scheduler)
+    add(scheduler, "first", tasks=2, spread="5c0e.0", max_per_endpoint=1)
+    add(scheduler, "second", tasks=2, spread="5c0e.1", max_per_endpoint=1)
+    assert len(scheduler.plan(0.0)) == 2
