Move an attempt to a faster endpoint where that saves its job

Percents of progress are rounded down, so that a guess at 3% is up to a third too long.

Change: progress gives the best guess and the least; an attempt that would end in time at the fastest endpoint is stopped and started anew with what was seen as its estimate; a job is given up only when the least guess is late. Each move is logged (attempt_moved).

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -26,6 +26,7 @@
     Beat,
     Held,
     LeaseGrant,
+    Progress,
     ResultLine,
     Start,
     StartBatch,
@@ -59,6 +60,8 @@
 FORGET_INTERVAL_S = 10.0
 # Room for the stop of the first attempt and an estimate that is too low.
 RESTART_MARGIN = 1.3
+# A stop takes 50 ms at most, and the calls around it as much again at a busy moment.
+MOVE_S = 0.06
 # Declared run times are off by 1.5 as a rule; so much more is the endpoint's doing.
 STALL_FACTOR = 4.0
 MAX_RESTARTS = 2
@@ -377,37 +380,67 @@
         return self._roster.beat(endpoint, beat)
 
     def progress_seen(
-        self, endpoint: EndpointId, left_s: Mapping[AttemptRef, float]
+        self, endpoint: EndpointId, progress: Mapping[AttemptRef, Progress]
     ) -> None:
         """Give up jobs that will miss their deadline by how far attempts have come.
 
         An attempt that is late only where it runs is stopped and started anew.
         """
-        now = now_s()
-        for ref, attempt_left_s in left_s.items():
+        for ref, seen in progress.items():
             job = self.table.jobs.get(ref.job)
             if job is None or not job.submission.give_up_early or job.doomed:
                 continue
-            deadline_s = now + job.deadline_unix_s - self._calendar.unix_s()
-            if now + attempt_left_s <= deadline_s:
+            left_s = job.deadline_unix_s - self._calendar.unix_s()
+            if seen.left_s <= left_s or self._start_anew(endpoint, ref, seen, left_s):
                 continue
-            known = self._roster.get(endpoint)
-            usual_s = self._scheduler.shortest_run_s(ref)
-            stalls = attempt_left_s > STALL_FACTOR * usual_s
-            in_time = now + RESTART_MARGIN * usual_s <= deadline_s
-            if stalls and in_time and ref.attempt < MAX_RESTARTS and known:
-                self._scheduler.stalled(ref, now)
-                known.link.send((), (ref,))
+            if seen.least_left_s <= left_s:
                 continue
             events.JOB_GIVEN_UP.log(
                 job=ref.job,
                 task=ref.task,
                 endpoint=endpoint,
-                task_left_s=round(attempt_left_s, 3),
-                deadline_left_s=round(deadline_s - now, 3),
+                task_run_s=round(seen.run_s, 3),
+                task_left_s=round(seen.left_s, 3),
+                deadline_left_s=round(left_s, 3),
             )
             self._doom(job, ResultCode.DEADLINE_PASSED)
 
+    def _start_anew(
+        self, endpoint: EndpointId, ref: AttemptRef, seen: Progress, left_s: float
+    ) -> bool:
+        """Stop an attempt that would end in time elsewhere; tell whether it would.
+
+        The task may be long, and yet not too long for a faster endpoint; or it is as
+        long as others of its kind, and the endpoint stalls.
+        """
+        known = self._roster.get(endpoint)
+        if known is None or ref.attempt >= MAX_RESTARTS:
+            return False
+        faster_s = self._scheduler.faster_run_s(ref, seen)
+        usual_s = self._scheduler.shortest_run_s(ref)
+        if faster_s + MOVE_S <= left_s:
+            ground = "faster elsewhere"
+            self._scheduler.found_long(ref, seen)
+        elif seen.left_s > STALL_FACTOR * usual_s and (
+            RESTART_MARGIN * usual_s <= left_s
+        ):
+            ground = "stalls"
+            self._scheduler.stalled(ref, now_s())
+        else:
+            return False
+        events.ATTEMPT_MOVED.log(
+            job=ref.job,
+            task=ref.task,
+            endpoint=endpoint,
+            ground=ground,
+            run_s=round(seen.run_s, 3),
+            left_s=round(seen.left_s, 3),
+            faster_s=round(faster_s, 3),
+            deadline_left_s=round(left_s, 3),
+        )
+        known.link.send((), (ref,))
+        return True
+
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
         """Note whether an endpoint answers."""
         self._scheduler.endpoint_reachable(endpoint, answers)
--- a/currantwell/endpoint_link.py
+++ b/currantwell/endpoint_link.py
@@ -20,6 +20,7 @@
     Beat,
     Held,
     LeaseGrant,
+    Progress,
     ResultLine,
     ResultStreamLine,
     Start,
@@ -74,9 +75,9 @@
         ...
 
     def progress_seen(
-        self, endpoint: EndpointId, left_s: Mapping[AttemptRef, float]
+        self, endpoint: EndpointId, progress: Mapping[AttemptRef, Progress]
     ) -> None:
-        """Take in how long attempts will still run, as seen from their progress."""
+        """Take in how far attempts have come."""
         ...
 
     def endpoint_answers(self, endpoint: EndpointId, answers: bool) -> None:
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -253,6 +253,12 @@
     Level.INFO,
     "A job is stopped, since a task of it is seen to end after the deadline.",
 )
+ATTEMPT_MOVED = _event(
+    809,
+    "attempt_moved",
+    Level.INFO,
+    "An attempt that ends too late where it runs is stopped, to be started anew.",
+)
 REQUEST_MALFORMED = _event(
     806, "request_malformed", Level.WARNING, "A request can't be read."
 )
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -19,7 +19,7 @@
 from .codes import ResultCode
 from .decisions import DecisionLog
 from .endpoint_load import EndpointLoad
-from .endpoint_protocol import Announcement, AttemptRef
+from .endpoint_protocol import Announcement, AttemptRef, Progress
 from .ids import EndpointId, JobId
 from .policies import (
     Admission,
@@ -100,6 +100,7 @@
         self._delayed: list[tuple[float, int, WaitingTask]] = []
         self._delays = 0
         self._newest: TaskSpec | None = None
+        self._found_s: dict[JobId, dict[int, float]] = {}
         self._room: Room | None = None
 
     @property
@@ -240,6 +241,8 @@
         if endpoint is None or task is None:
             return
         self._room = None
+        if code is ResultCode.COMPLETE:
+            self._take_found_s(ref.job, ref.task)
         load = self._endpoints.get(endpoint)
         if load is not None:
             load.release(ref)
@@ -290,6 +293,23 @@
         if endpoint in self._endpoints and endpoint is not None and task is not None:
             self._policies.ejection.learn(endpoint, task.spec.kind, False, now_s)
 
+    def faster_run_s(self, ref: AttemptRef, seen: Progress) -> float:
+        """Return how long an attempt would run in all at the fastest endpoint."""
+        endpoint, _ = self._placed.get(ref, (None, None))
+        speeds = [load.speed for load in self._endpoints.values() if load.usable()]
+        if endpoint is None or endpoint not in self._endpoints or not speeds:
+            return math.inf
+        work_s = (seen.run_s + seen.left_s) * self._endpoints[endpoint].speed
+        return work_s / max(speeds)
+
+    def found_long(self, ref: AttemptRef, seen: Progress) -> None:
+        """Expect of a task's next attempt what is seen of this one."""
+        endpoint, _ = self._placed.get(ref, (None, None))
+        if endpoint is not None and endpoint in self._endpoints:
+            speed = self._endpoints[endpoint].speed
+            work_s = (seen.run_s + seen.left_s) * speed
+            self._found_s.setdefault(ref.job, {})[ref.task] = work_s
+
     def shortest_run_s(self, ref: AttemptRef) -> float:
         """Return the run time expected of a placed attempt at the fastest endpoint."""
         _, task = self._placed.get(ref, (None, None))
@@ -301,6 +321,7 @@
     def remove(self, job: JobId) -> None:
         """Take all waiting tasks of a job out of the queue."""
         self._room = None
+        self._found_s.pop(job, None)
         for task in self._waiting.pop(job, {}).values():
             self._policies.ordering.discard(task)
             self._backlog.remove(task)
@@ -392,7 +413,9 @@
         now_s: float,
     ) -> WaitingTask:
         spec = request.tasks[index]
-        estimate_s = self._policies.estimates.estimate_s(spec.kind, spec.run_time_s)
+        estimate_s = self._take_found_s(request.job, index)
+        if estimate_s is None:
+            estimate_s = self._policies.estimates.estimate_s(spec.kind, spec.run_time_s)
         group.tasks += 1
         group.work_s += estimate_s
         group.longest_s = max(group.longest_s, estimate_s)
@@ -410,6 +433,16 @@
             shape_of(spec),
         )
 
+    def _take_found_s(self, job: JobId, task: int) -> float | None:
+        """Return what an earlier attempt showed of a task's run time, once."""
+        found = self._found_s.get(job)
+        if found is None:
+            return None
+        work_s = found.pop(task, None)
+        if not found:
+            del self._found_s[job]
+        return work_s
+
     def _delay(self, task: WaitingTask, wait_s: float, now_s: float) -> None:
         self._delays += 1
         heapq.heappush(self._delayed, (now_s + wait_s, self._delays, task))
--- a/tests/cooperative/test_worker_link.py
+++ b/tests/cooperative/test_worker_link.py
@@ -38,8 +38,8 @@
     def beat_arrived(self, endpoint, beat):
         return LeaseGrant(beat.beat, LEASE_S)
 
-    def progress_seen(self, endpoint, left_s):
-        self.left_s.update(left_s)
+    def progress_seen(self, endpoint, progress):
+        self.left_s.update({ref: seen.left_s for ref, seen in progress.items()})
 
     def endpoint_answers(self, endpoint, answers):
         self.answers = answers
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,5 +1,6 @@
 """The dispatcher under cancellation, lost commits, late results and recovery."""
 
+import dataclasses
 import math
 
 import msgspec
@@ -11,11 +12,13 @@
 from currantwell.clock import SystemCalendar
 from currantwell.codes import ResultCode
 from currantwell.dispatcher import Dispatcher, DispatcherLimits
-from currantwell.endpoint_protocol import AttemptRef, Beat, Held, ResultLine
+from currantwell.endpoint_protocol import AttemptRef, Beat, Held, Progress, ResultLine
 from currantwell.errors import Deposed, StorageFailed
+from currantwell.estimates import DeclaredEstimates
 from currantwell.ids import Epoch, Incarnation
 from currantwell.job_log import LocalJobLog
 from currantwell.journal import MemoryJournal
+from currantwell.placement import TailAwarePlacement
 from currantwell.records import JobCancelled, JobClosed, encode_record
 from currantwell.scheduler import Scheduler
 from currantwell.submission import RestartRule
@@ -87,7 +90,7 @@
 
 
 class Bench:
-    def __init__(self, *records, **limits):
+    def __init__(self, *records, policies=None, **limits):
         self.log = HeldLog(*records)
         self.links = {}
         self.drained_endpoints = set()
@@ -95,7 +98,7 @@
             DATA_CENTRE,
             Epoch(2),
             self.log,
-            Scheduler(baseline(LeastLoaded())),
+            Scheduler(policies or baseline(LeastLoaded())),
             SystemCalendar(),
             DispatcherLimits(endpoint_lease_s=8.0, **limits),
             connect=self.connect,
@@ -115,6 +118,25 @@
         return self.links[E1.incarnation]
 
 
+class KnownSpeeds(DeclaredEstimates):
+    """Knows how fast endpoints are; believes what is declared of tasks."""
+
+    def __init__(self, **speeds):
+        self.speeds = speeds
+
+    def speed(self, endpoint):
+        return self.speeds[endpoint]
+
+
+def by_speed(**speeds):
+    """Return policies that place by known speeds."""
+    return dataclasses.replace(
+        baseline(LeastLoaded()),
+        placement=TailAwarePlacement(cap_long=False),
+        estimates=KnownSpeeds(**speeds),
+    )
+
+
 async def settle():
     await trio.sleep(0.01)
 
@@ -363,7 +385,7 @@
     await bench.dispatcher.submit(job)
     await settle()
     ref = AttemptRef(a_job_id(job), 0, 1)
-    bench.dispatcher.progress_seen(E1.endpoint, {ref: left_s})
+    bench.dispatcher.progress_seen(E1.endpoint, {ref: Progress(0.1, left_s, left_s)})
     stopped = left_s > 2.0
     assert bench.link.stops == ([ref] if stopped else [])
     state = bench.dispatcher.table.jobs[a_job_id(job)]
@@ -375,6 +397,47 @@
         assert again == ([1] if given_up else [1, 2])
 
 
+@pytest.mark.parametrize(("left_s", "moved"), [(2.5, True), (9.0, False)])
+async def test_an_attempt_that_a_faster_endpoint_ends_in_time_moves_there(
+    nursery, clock, left_s, moved
+):
+    bench = Bench(policies=by_speed(**{"e-1": 0.5, "fast": 2.0}))
+    job = a_submission(
+        restart=RestartRule.IF_OVER,
+        run_time_s=3.2,
+        deadline_s=2.0,
+        give_up_early=True,
+    )
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    await bench.dispatcher.submit(job)
+    await settle()
+    await bench.dispatcher.announce(an_announcement("fast"))
+    ref = AttemptRef(a_job_id(job), 0, 1)
+    bench.dispatcher.progress_seen(E1.endpoint, {ref: Progress(0.1, left_s, left_s)})
+    assert bench.link.stops == [ref]
+    state = bench.dispatcher.table.jobs[a_job_id(job)]
+    assert (state.cancel_code is None) is moved
+    await bench.link.results(ResultLine(1, ref, ResultCode.TASK_STOPPED))
+    await trio.sleep(0.1)
+    assert [start.ref.attempt for start in bench.links["fast.1"].starts] == [2] * moved
+
+
+async def test_a_job_that_may_still_be_in_time_is_not_given_up(nursery, clock):
+    bench = Bench()
+    job = a_submission(run_time_s=5.0, deadline_s=2.0, give_up_early=True)
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    await bench.dispatcher.submit(job)
+    await settle()
+    ref = AttemptRef(a_job_id(job), 0, 1)
+    bench.dispatcher.progress_seen(E1.endpoint, {ref: Progress(0.1, 2.2, 1.9)})
+    assert bench.dispatcher.table.jobs[a_job_id(job)].cancel_code is None
+    bench.dispatcher.progress_seen(E1.endpoint, {ref: Progress(0.2, 2.2, 2.1)})
+    code = bench.dispatcher.table.jobs[a_job_id(job)].cancel_code
+    assert code is ResultCode.DEADLINE_PASSED
+
+
 async def test_a_job_of_which_nothing_starts_in_time_is_given_up(nursery, clock):
     bench, job = Bench(), a_submission(deadline_s=9.0, start_within_s=0.5)
     await nursery.start(bench.dispatcher.run)
