Tell the near of room often and the far of what matters

Cause: with 35 entry hosts a dispatcher told its room every 85 ms to all of them alike, so that hosts beside it chose by what was long gone.

Change: the pace for hosts of the same data centre goes by their number alone; the others hear at the old pace, of changes that matter.

--- a/currantwell/fleet/dispatcher_links.py
+++ b/currantwell/fleet/dispatcher_links.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import math
 from collections.abc import Callable
 from functools import partial
 
@@ -31,6 +30,7 @@
     Message,
     RunJob,
 )
+from .room_news import RoomNews, repeat_interval_s, tell_interval_s
 
 __all__ = ["DispatcherLinks"]
 
@@ -38,22 +38,10 @@
 CHECK_INTERVAL_S = 0.5
 # A connection between data centres is set up in 3 ms.
 DIAL_PAUSE_S = 0.05
-# Half of the shortest task seen, so that room is known while it lasts.
-TELL_INTERVAL_S = 0.02
-# Assumed, not measured: telling one host costs 50 us here and as much there.
-TELL_INTERVAL_PER_HOST_S = 0.0025
 # What a dispatcher told long ago says nothing of its room now.
 TOLD_FOR_S = 1.0
-# Just before a ping would be due, in the place of which it counts.
-REPEAT_S = 0.8 * PING_S
-# With many hosts each hears less often; three repeats are within `TOLD_FOR_S` still.
-REPEAT_PER_HOST_S = 0.01
-MAX_REPEAT_S = 0.3
 # How often a dispatcher hears from a host of which it runs nothing.
 IDLE_PING_S = 1.0
-# A data centre elsewhere hears of a change of room by this share at least: it sends
-# work over only when its own has none.
-FAR_CHANGE_SHARE = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -333,54 +321,23 @@
 
     async def _tell_loop(self) -> None:
         """Tell other hosts of the room here, those of this data centre in detail."""
-        told = {True: _LastTold(), False: _LastTold()}
+        told = {True: RoomNews(exact=True), False: RoomNews(exact=False)}
         while True:
             if not self._local:
                 self._dispatching = trio.Event()
                 await self._dispatching.wait()
-            many_s = TELL_INTERVAL_PER_HOST_S * len(self._accepted)
-            await trio.sleep(max(TELL_INTERVAL_S, many_s))
             audience: dict[bool, list[Channel]] = {True: [], False: []}
             for channel, hello in self._accepted.items():
                 near = hello is None or hello.data_centre == self._hello.data_centre
                 audience[near].append(channel)
-            many_s = REPEAT_PER_HOST_S * len(self._accepted)
-            repeat_s = min(max(REPEAT_S, many_s), MAX_REPEAT_S)
+            await trio.sleep(tell_interval_s(len(audience[True])))
+            every_s = {True: 0.0, False: tell_interval_s(len(self._accepted))}
+            repeat_s = repeat_interval_s(len(self._accepted))
             for local in self._local.values():
                 said = local.told()
                 for near, channels in audience.items():
-                    if channels and told[near].is_news(said, repeat_s, exact=near):
+                    if channels and told[near].is_news(said, every_s[near], repeat_s):
                         body = encode(said)
                         for channel in channels:
                             channel.ping_every(max(PING_S, repeat_s))
                             channel.send_encoded(body)
-
-
-class _LastTold:
-    """What an audience was told last of each group, and when."""
-
-    def __init__(self) -> None:
-        self._last: dict[EndpointGroup, tuple[float, DispatcherTold]] = {}
-
-    def is_news(self, said: DispatcherTold, repeat_s: float, exact: bool) -> bool:
-        """Tell whether something is worth telling now, and if so count it as told."""
-        now = now_s()
-        sent_s, before = self._last.get(said.group, (-math.inf, None))
-        if now - sent_s < repeat_s and before is not None:
-            changed = said != before if exact else _much_changed(before, said)
-            if not changed:
-                return False
-        self._last[said.group] = (now, said)
-        return True
-
-
-def _much_changed(before: DispatcherTold, said: DispatcherTold) -> bool:
-    """Tell whether a host that rarely sends work there would decide otherwise."""
-    if (before.epoch, before.serving) != (said.epoch, said.serving):
-        return True
-    if (before.free == 0) != (said.free == 0):
-        return True
-    room = abs(said.free - before.free)
-    wait_s = abs(said.waiting_s - before.waiting_s)
-    least = FAR_CHANGE_SHARE * max(1, said.slots)
-    return room >= least or wait_s >= FAR_CHANGE_SHARE * max(1.0, before.waiting_s)
