Have a moved attempt wait for an endpoint that is fast enough

While its stop was under way an attempt was also judged, and an endpoint blamed, more than once.

Change: a moved task waits for an endpoint that ends it in time by what was seen, as long as there is one; an attempt is judged no more once it is to be stopped. The new test of the scheduler fails without the change.

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -167,6 +167,7 @@
         self._shutting_down = False
         self._paused = False
         self._unanswered: set[AttemptRef] = set()
+        self._moving: set[AttemptRef] = set()
         self._waiters: set[trio.CancelScope] = set()
         self._stopped = False
         self._forget_due_s = 0.0
@@ -383,6 +384,8 @@
             job = self.table.jobs.get(ref.job)
             if job is None or not job.submission.give_up_early or job.doomed:
                 continue
+            if ref in self._moving:
+                continue
             left_s = job.deadline_unix_s - self._calendar.unix_s()
             outlook = self._scheduler.outlook(ref, seen)
             verdict = judge(ref.attempt, seen, outlook, left_s)
@@ -411,6 +414,7 @@
         self, endpoint: EndpointId, ref: AttemptRef, seen: Progress, verdict: Verdict
     ) -> None:
         """Have an attempt stopped; its task is queued again once it is over."""
+        self._moving.add(ref)
         if verdict is Verdict.MOVE:
             self._scheduler.found_long(ref, seen)
         else:
@@ -567,6 +571,7 @@
             self._put([record])
             self._free(record, run_s.get(record.ref, 0.0))
             self._unanswered.discard(record.ref)
+            self._moving.discard(record.ref)
             tasks.setdefault(record.ref.job, []).append(record.ref.task)
         for job, indices in tasks.items():
             self._after_ends(self.table.jobs[job], indices)
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -354,6 +354,8 @@
             fitting = [load for load in room if load.fits(task.spec)]
             if not fitting:
                 blocked.add(task.shape)
+            fitting = _fast_enough(task, fitting, ordered, now_s)
+            if not fitting:
                 self._decisions.waits(task, Reason.NO_ROOM)
                 continue
             if len(placed) >= left and policies.ordering.over_share(task):
@@ -410,6 +412,7 @@
     ) -> WaitingTask:
         spec = request.tasks[index]
         estimate_s = self._take_found_s(request.job, index)
+        moved = estimate_s is not None
         if estimate_s is None:
             estimate_s = self._policies.estimates.estimate_s(spec.kind, spec.run_time_s)
         group.tasks += 1
@@ -427,6 +430,7 @@
             estimate_s >= LONG_TASK_S,
             group,
             shape_of(spec),
+            moved=moved,
         )
 
     def _take_found_s(self, job: JobId, task: int) -> float | None:
@@ -459,6 +463,26 @@
     return -load.speed
 
 
+def _fast_enough(
+    task: WaitingTask,
+    fitting: list[EndpointLoad],
+    known: Sequence[EndpointLoad],
+    now_s: float,
+) -> list[EndpointLoad]:
+    """Return the endpoints with room that end a moved task before its deadline.
+
+    None, to wait, while one without room would; all of them once none would, and for
+    any other task.
+    """
+    if not task.moved:
+        return fitting
+    needed = task.estimate_s / max(1e-9, task.deadline_s - now_s)
+    fast = [load for load in fitting if load.speed >= needed]
+    if fast or any(load.usable() and load.speed >= needed for load in known):
+        return fast
+    return fitting
+
+
 def _offers(said: Announcement) -> tuple[float, ...]:
     """Return what of an announcement decides how much an endpoint holds."""
     return (
--- a/currantwell/waiting.py
+++ b/currantwell/waiting.py
@@ -103,6 +103,9 @@
         When it was placed, if it was.
     passed_s : float or None
         Since when it waits although some endpoint has room for it.
+    moved : bool
+        Whether an earlier attempt was stopped for being too late where it ran, so that
+        the estimate is what that one showed.
     """
 
     job: JobId
@@ -118,6 +121,7 @@
     shape: Shape = (1.0, 0, 0, None, None, None, None, None)
     started_s: float = 0.0
     passed_s: float | None = None
+    moved: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data."""
 
+import dataclasses
 import json
 import socket
 from contextlib import ExitStack
@@ -10,6 +11,7 @@
 
 from currantwell.agreed_state import AgreedState
 from currantwell.audit import AuditArchive
+from currantwell.baselines import LeastLoaded, baseline
 from currantwell.changes import (
     Change,
     ProposeView,
@@ -24,6 +26,7 @@
 from currantwell.endpoint_load import EndpointLoad
 from currantwell.endpoint_protocol import Announcement, AttemptRef
 from currantwell.errors import AgreementLost, PeerUnreachable
+from currantwell.estimates import DeclaredEstimates
 from currantwell.ids import (
     DataCentre,
     EndpointId,
@@ -35,6 +38,7 @@
 )
 from currantwell.journal import MemoryJournal
 from currantwell.peers import Peers
+from currantwell.placement import TailAwarePlacement
 from currantwell.raft_agreement import RaftAgreement
 from currantwell.records import AttemptEnded, AttemptStarted, JobAccepted
 from currantwell.state_image import HostRecord
@@ -333,3 +337,22 @@
     load = EndpointLoad(Announcement(name, "first", "", "valdres", **said))
     load.speed = speed
     return load
+
+
+class KnownSpeeds(DeclaredEstimates):
+    """Knows how fast endpoints are; believes what is declared of tasks."""
+
+    def __init__(self, **speeds):
+        self.speeds = speeds
+
+    def speed(self, endpoint):
+        return self.speeds[endpoint]
+
+
+def by_speed(**speeds):
+    """Return policies that place by known speeds."""
+    return dataclasses.replace(
+        baseline(LeastLoaded()),
+        placement=TailAwarePlacement(cap_long=False, wait_faster=False),
+        estimates=KnownSpeeds(**speeds),
+    )
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,6 +1,5 @@
 """The dispatcher under cancellation, lost commits, late results and recovery."""
 
-import dataclasses
 import math
 
 import msgspec
@@ -14,11 +13,9 @@
 from currantwell.dispatcher import Dispatcher, DispatcherLimits
 from currantwell.endpoint_protocol import AttemptRef, Beat, Held, ResultLine
 from currantwell.errors import Deposed, StorageFailed
-from currantwell.estimates import DeclaredEstimates
 from currantwell.ids import Epoch, Incarnation
 from currantwell.job_log import LocalJobLog
 from currantwell.journal import MemoryJournal
-from currantwell.placement import TailAwarePlacement
 from currantwell.progress import Progress
 from currantwell.records import JobCancelled, JobClosed, encode_record
 from currantwell.scheduler import Scheduler
@@ -29,6 +26,7 @@
     a_submission,
     accepted,
     an_announcement,
+    by_speed,
     ended,
     started,
 )
@@ -119,25 +117,6 @@
         return self.links[E1.incarnation]
 
 
-class KnownSpeeds(DeclaredEstimates):
-    """Knows how fast endpoints are; believes what is declared of tasks."""
-
-    def __init__(self, **speeds):
-        self.speeds = speeds
-
-    def speed(self, endpoint):
-        return self.speeds[endpoint]
-
-
-def by_speed(**speeds):
-    """Return policies that place by known speeds."""
-    return dataclasses.replace(
-        baseline(LeastLoaded()),
-        placement=TailAwarePlacement(cap_long=False),
-        estimates=KnownSpeeds(**speeds),
-    )
-
-
 async def settle():
     await trio.sleep(0.01)
 
@@ -416,6 +395,7 @@
     await bench.dispatcher.announce(an_announcement("fast"))
     ref = AttemptRef(a_job_id(job), 0, 1)
     bench.dispatcher.progress_seen(E1.endpoint, {ref: Progress(0.1, left_s, left_s)})
+    bench.dispatcher.progress_seen(E1.endpoint, {ref: Progress(0.1, left_s, left_s)})
     assert bench.link.stops == [ref]
     state = bench.dispatcher.table.jobs[a_job_id(job)]
     assert (state.cancel_code is None) is moved
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -9,9 +9,12 @@
 from currantwell.dispatch_policies import dispatch_scheduler
 from currantwell.endpoint_protocol import Announcement
 from currantwell.presets import FixedPreset
+from currantwell.progress import Progress
 from currantwell.quotas import EqualQuotas
+from currantwell.scheduler import Scheduler
 from currantwell.submission import RestartRule, TaskSpec
 from currantwell.waiting import JobRequest
+from tests.builders import by_speed
 
 
 @pytest.fixture
@@ -175,3 +178,32 @@
     add(scheduler, "first", tasks=2, spread="5c0e.0", max_per_endpoint=1)
     add(scheduler, "second", tasks=2, spread="5c0e.1", max_per_endpoint=1)
     assert len(scheduler.plan(0.0)) == 2
+
+
+def test_a_moved_task_waits_for_an_endpoint_that_is_fast_enough():
+    speeds = {"slow": 0.5, "fast": 2.0}
+    scheduler = Scheduler(by_speed(**speeds))
+    announce(scheduler, "slow", slots=1)
+    add(scheduler, run_time_s=0.4)
+    (first,) = scheduler.plan(0.0)
+    announce(scheduler, "fast", slots=1)
+    add(scheduler, "other", run_time_s=0.4)
+    (other,) = scheduler.plan(0.0)
+    assert other.endpoint == "fast"
+    scheduler.found_long(first.ref, Progress(10.0, 110.0, 110.0))
+    scheduler.ended(first.ref, ResultCode.TASK_STOPPED, 10.0, 10.0)
+    add(scheduler, attempt=2, now_s=10.0, run_time_s=0.4)
+    assert scheduler.plan(11.0) == []
+    scheduler.ended(other.ref, ResultCode.COMPLETE, 0.2, 11.0)
+    assert [item.endpoint for item in scheduler.plan(11.0)] == ["fast"]
+
+
+def test_a_moved_task_that_no_endpoint_ends_in_time_waits_for_none():
+    scheduler = Scheduler(by_speed(slow=0.5))
+    announce(scheduler, "slow", slots=1)
+    add(scheduler, run_time_s=0.4)
+    (first,) = scheduler.plan(0.0)
+    scheduler.found_long(first.ref, Progress(10.0, 110.0, 110.0))
+    scheduler.ended(first.ref, ResultCode.TASK_STOPPED, 10.0, 10.0)
+    add(scheduler, attempt=2, now_s=10.0, run_time_s=0.4)
+    assert [item.endpoint for item in scheduler.plan(11.0)] == ["slow"]
