--- a/currantwell/progress.py
+++ b/currantwell/progress.py
@@ -15,7 +15,8 @@
 STALL_FACTOR = 4.0
 # Room for the stop of the first attempt and an estimate that is too low.
 RESTART_MARGIN = 1.3
-MAX_ATTEMPTS = 2
+# What was started anew once is not started anew again.
+LAST_ATTEMPT = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,7 +79,7 @@
     """
     if seen.left_s <= left_s:
         return Verdict.GO_ON
-    if attempt < MAX_ATTEMPTS:
+    if attempt < LAST_ATTEMPT:
         if outlook.if_long_s + MOVE_S <= left_s:
             return Verdict.MOVE
         stalls = seen.left_s > STALL_FACTOR * outlook.if_usual_s
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from currantwell.progress import MAX_ATTEMPTS, Outlook, Progress, Verdict, judge
+from currantwell.progress import LAST_ATTEMPT, Outlook, Progress, Verdict, judge
 
 HOPELESS = Outlook(math.inf, math.inf)
 
@@ -25,8 +25,8 @@
         (1, seen(1.1), Outlook(0.99, 0.4), Verdict.GIVE_UP),
         (1, seen(9.0), Outlook(4.0, 0.4), Verdict.RESTART),
         (1, seen(9.0), Outlook(4.0, 0.9), Verdict.GIVE_UP),
-        (MAX_ATTEMPTS, seen(1.1), Outlook(0.5, 0.4), Verdict.GIVE_UP),
-        (MAX_ATTEMPTS, seen(1.1, 0.9), Outlook(0.5, 0.4), Verdict.GO_ON),
+        (LAST_ATTEMPT, seen(1.1), Outlook(0.5, 0.4), Verdict.GIVE_UP),
+        (LAST_ATTEMPT, seen(1.1, 0.9), Outlook(0.5, 0.4), Verdict.GO_ON),
     ],
     ids=str,
 )
