Give the test of several dispatchers the hosts of three groups

Groups are of four hosts since, and the test counted on three. Twelve hosts in place of nine; it checks the same: three groups, on the three largest hosts.

--- a/tests/fleet/test_ownership.py
+++ b/tests/fleet/test_ownership.py
@@ -89,16 +89,16 @@
 
 def test_a_large_data_centre_has_several_dispatchers_on_its_largest_hosts():
     hosts = [
-        a_sighting(host=f"valdres-{number}", cores=number / 4) for number in range(9)
+        a_sighting(host=f"valdres-{number}", cores=number / 4) for number in range(12)
     ]
     changes = decide([], *hosts)
     assert [change.group for change in changes] == [
         EndpointGroup(VALDRES, index, 3) for index in range(3)
     ]
     assert {change.host for change in changes} == {
-        "valdres-8",
-        "valdres-7",
-        "valdres-6",
+        "valdres-11",
+        "valdres-10",
+        "valdres-9",
     }
 
 
