Keep the ports of tested hosts out of the way of outgoing connections

The port was picked by the kernel from the range that it gives to outgoing connections too, and one took it while the host was dead.

Ruled out: the host itself, which ended as it should; the test passed by itself.

Change: one free_port for scenarios and roles, below that range. No check is changed.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 import json
+import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -10,10 +12,26 @@
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 
+# Above the ports of usual services.
+FIRST_PORT = 10_000
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 
 
+def free_port() -> int:
+    """Return a free port that no outgoing connection takes while its host is down."""
+    range_path = Path("/proc/sys/net/ipv4/ip_local_port_range")
+    first_outgoing = int(range_path.read_text().split()[0])
+    while True:
+        port = random.SystemRandom().randrange(FIRST_PORT, first_outgoing)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+
+
 @dataclasses.dataclass
 class Process:
     """A process of the command line that printed where it serves."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -53,6 +53,7 @@
 from currantwell.operator_client import OperatorClient
 from currantwell.submission import RestartRule, Submission, TaskSpec
 from tests.faulty_proxy import Fault, FaultyProxy
+from tests.processes import free_port
 
 STEP_TIMEOUT_S = 30.0
 POLL_S = 0.05
@@ -123,7 +124,7 @@
 
     async def do_start(self):
         for node in self._hosts.values():
-            node.peer_port = _free_port()
+            node.peer_port = free_port()
         for node in self._hosts.values():
             await self._write_settings(node)
         for node in self._hosts.values():
@@ -132,7 +133,7 @@
     async def do_endpoint(self, name, data_centre, **options):
         node = Node(name, data_centre, options)
         self._endpoints[name] = node
-        port = _free_port()
+        port = free_port()
         node.address = ("127.0.0.1", port)
         arguments = ["--id", name, "--data-centre", data_centre, "--port", str(port)]
         for host in self._hosts.values():
@@ -193,7 +194,7 @@
         values = {
             "id": node.name,
             "data_centre": node.data_centre,
-            "http_port": str(_free_port()),
+            "http_port": str(free_port()),
             "data_folder": str(self._folder / node.name / "data"),
         }
         lines = []
@@ -457,14 +458,6 @@
         await trio.sleep(POLL_S)
 
 
-def _free_port():
-    import socket
-
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 async def run_scenario(text, folder):
     """Carry out a script in a folder of its own."""
     async with trio.open_nursery() as nursery:
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -4,7 +4,6 @@
 import json
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -19,7 +18,7 @@
 from currantwell.errors import EndpointUnreachable, RequestRefused
 from currantwell.http_client import HttpClient
 from tests.builders import DATA_CENTRE, a_submission
-from tests.processes import Process, running, wait_until
+from tests.processes import Process, free_port, running, wait_until
 
 TASKS = 200
 SERVICE_AGAIN_S = 5.0
@@ -29,12 +28,6 @@
 NUMBERS = itertools.count()
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Cluster:
     """Hosts of one data centre with emulated endpoints."""
 
