Log the inputs of each placement and count late attempts

A log could not tell a job that was placed badly from one that was moved too late or given up wrongly: job_part_ended had endpoints and numbers of attempts only, and attempt_moved and job_abandoned not the speed assumed of the endpoint. job_part_ended now has each placement with reason, wait, estimated run time and speed, the other two the speed, and late_attempts_total counts the decisions on late attempts.

--- a/currantwell/decisions.py
+++ b/currantwell/decisions.py
@@ -8,16 +8,45 @@
 from .policies import Reason
 from .scheduler_types import WaitingTask
 
-__all__ = ["DecisionLog"]
+__all__ = ["DecisionLog", "PlacementDecision"]
 
 MAX_JOBS = 2_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementDecision:
+    """The placement of one attempt, with the inputs that decided it.
+
+    Parameters
+    ----------
+    task, attempt
+        The index of the task and the number of the attempt.
+    endpoint : EndpointId
+        Where it was placed.
+    reason : Reason
+        Why there.
+    waited_s : float
+        Time in the queue, in seconds.
+    estimate_s : float
+        Estimated run time at speed 1, in seconds.
+    speed : float
+        Estimated speed of the endpoint at that moment.
+    """
+
+    task: int
+    attempt: int
+    endpoint: EndpointId
+    reason: Reason
+    waited_s: float
+    estimate_s: float
+    speed: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Entry:
     """The decisions about one job."""
 
-    placed: list[tuple[int, int, EndpointId, Reason, float]]
+    placed: list[PlacementDecision]
     wait_reason: Reason = Reason.LOWER_PRIORITY
     refusal: Refusal | None = None
 
@@ -29,14 +58,32 @@
         self._jobs: collections.OrderedDict[JobId, _Entry] = collections.OrderedDict()
 
     def record_placement(
-        self, task: WaitingTask, endpoint: EndpointId, reason: Reason, now_s: float
+        self,
+        task: WaitingTask,
+        endpoint: EndpointId,
+        speed: float,
+        reason: Reason,
+        now_s: float,
     ) -> None:
         """Record where a task was placed and why."""
         waited_s = now_s - task.queued_at_s
         self._entry(task.job).placed.append(
-            (task.task, task.attempt, endpoint, reason, waited_s)
+            PlacementDecision(
+                task.task,
+                task.attempt,
+                endpoint,
+                reason,
+                waited_s,
+                task.estimate_s,
+                speed,
+            )
         )
 
+    def placements(self, job: JobId) -> list[PlacementDecision]:
+        """Return the placements of a job's attempts, in their order."""
+        entry = self._jobs.get(job)
+        return list(entry.placed) if entry else []
+
     def record_wait(self, task: WaitingTask, reason: Reason) -> None:
         """Record why a job's tasks wait."""
         self._entry(task.job).wait_reason = reason
@@ -56,9 +103,9 @@
         if entry is None:
             return []
         lines = [
-            f"task {task}: attempt {attempt} placed at {endpoint} after "
-            f"{waited_s:.3f} s: {reason.value}"
-            for task, attempt, endpoint, reason, waited_s in entry.placed
+            f"task {placed.task}: attempt {placed.attempt} placed at "
+            f"{placed.endpoint} after {placed.waited_s:.3f} s: {placed.reason.value}"
+            for placed in entry.placed
         ]
         if entry.refusal is not None:
             code = entry.refusal.code
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -17,6 +17,7 @@
 from .answers import Answer, Refusal, TaskState, TaskStatus
 from .clock import CalendarClock, now_s
 from .codes import ResultCode
+from .decisions import PlacementDecision
 from .drains import DrainSource, NoDrains
 from .endpoint_link import EndpointLink, MakeLink
 from .endpoint_protocol import (
@@ -294,6 +295,10 @@
             return self._job_not_found(job)
         return lines
 
+    def placements(self, job: JobId) -> list[PlacementDecision]:
+        """Return the placements of a job's attempts, in their order."""
+        return self._scheduler.placements(job)
+
     async def endpoints(self) -> list[Announcement] | Refusal:
         """Return the latest announcement of each registered endpoint."""
         return [registered.announcement for registered in self._roster]
@@ -411,6 +416,7 @@
             decision = decide_attempt(ref.attempt, report, estimate, left_s)
             if decision is AttemptDecision.CONTINUE:
                 continue
+            self._metrics.count_late_attempt(decision.name)
             event = events.ATTEMPT_MOVED
             if decision is AttemptDecision.ABANDON_JOB:
                 event = events.JOB_ABANDONED
@@ -421,6 +427,7 @@
                 ground=decision.value,
                 run_s=round(report.run_s, 3),
                 left_s=round(report.left_s, 3),
+                speed=round(self._scheduler.endpoint_speed(endpoint), 2),
                 if_long_s=round(estimate.if_long_s, 3),
                 if_usual_s=round(estimate.if_usual_s, 3),
                 deadline_left_s=round(left_s, 3),
--- a/currantwell/fleet/local_dispatch.py
+++ b/currantwell/fleet/local_dispatch.py
@@ -10,6 +10,7 @@
 from ..answers import Answer, Refusal, TaskState
 from ..clock import now_s
 from ..codes import ResultCode
+from ..decisions import PlacementDecision
 from ..dispatcher import Dispatcher
 from ..errors import Deposed
 from ..ids import EndpointId, Incarnation, JobId, job_id
@@ -146,6 +147,9 @@
             tasks=[
                 (task.state.value, task.endpoint, task.attempts) for task in statuses
             ],
+            placements=[
+                _placement_row(placed) for placed in self._dispatcher.placements(job)
+            ],
         )
         return JobEnded(request, code, _describe_unfinished(reply))
 
@@ -233,6 +237,19 @@
     return ResultCode.DEADLINE_PASSED
 
 
+def _placement_row(placed: PlacementDecision) -> tuple[object, ...]:
+    """Return a placement as a row of the log, with times in seconds."""
+    return (
+        placed.task,
+        placed.attempt,
+        placed.endpoint,
+        placed.reason.name,
+        round(placed.waited_s, 3),
+        round(placed.estimate_s, 3),
+        round(placed.speed, 2),
+    )
+
+
 def _describe_unfinished(answer: Answer) -> str:
     """Return a description of up to four tasks that are not done."""
     unfinished = [
--- a/currantwell/metrics.py
+++ b/currantwell/metrics.py
@@ -124,6 +124,7 @@
         self._series = {timing: _Series() for timing in Timing}
         self._refusals: collections.Counter[ResultCode] = collections.Counter()
         self._answers: collections.Counter[str] = collections.Counter()
+        self._late_attempts: collections.Counter[str] = collections.Counter()
 
     def observe(self, timing: Timing, time_s: float) -> None:
         """Add a duration, in seconds."""
@@ -137,6 +138,10 @@
         """Count an answer by the outcome of its job."""
         self._answers[outcome] += 1
 
+    def count_late_attempt(self, decision: str) -> None:
+        """Count an attempt that would end after the deadline, by what was decided."""
+        self._late_attempts[decision] += 1
+
     def rotate(self) -> None:
         """Start a new window for all quantiles."""
         for series in self._series.values():
@@ -155,6 +160,12 @@
             f'currantwell_answers_total{{outcome="{outcome}"}} {count}'
             for outcome, count in sorted(self._answers.items())
         )
+        meaning = "Attempts that would end after the deadline, by decision."
+        lines.extend(_heading("late_attempts_total", "counter", meaning))
+        lines.extend(
+            f'currantwell_late_attempts_total{{decision="{decision}"}} {count}'
+            for decision, count in sorted(self._late_attempts.items())
+        )
         for name, kind, meaning, value in _load_metrics(load):
             lines.extend(_heading(name, kind, meaning))
             lines.append(f"currantwell_{name} {value}")
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -17,7 +17,7 @@
 from .answers import Refusal
 from .backlog import Backlog
 from .codes import ResultCode
-from .decisions import DecisionLog
+from .decisions import DecisionLog, PlacementDecision
 from .endpoint_load import EndpointLoad
 from .endpoint_protocol import Announcement, AttemptRef
 from .ids import EndpointId, JobId
@@ -310,6 +310,11 @@
             self.endpoints, self._presets.preset(), now_s
         )
 
+    def endpoint_speed(self, endpoint: EndpointId) -> float:
+        """Return the estimated speed of an endpoint, 1 if it is not registered."""
+        load = self._endpoints.get(endpoint)
+        return 1.0 if load is None else load.speed
+
     def record_stall(self, ref: AttemptRef, now_s: float) -> None:
         """Count an attempt that progresses far too slowly as its endpoint's failure."""
         endpoint, task = self._placed.get(ref, (None, None))
@@ -361,6 +366,10 @@
         ]
         return self._decisions.lines(job) + lines
 
+    def placements(self, job: JobId) -> list[PlacementDecision]:
+        """Return the placements of a job's attempts, in their order."""
+        return self._decisions.placements(job)
+
     # Matching.
 
     def _match(
@@ -430,7 +439,7 @@
         ref = placed.ref
         load.add_running(ref, task)
         self._placed[ref] = (load.id, task)
-        self._decisions.record_placement(task, load.id, reason, now_s)
+        self._decisions.record_placement(task, load.id, load.speed, reason, now_s)
         return placed
 
     def _update_limits(self, ordered: Sequence[EndpointLoad], now_s: float) -> None:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -144,6 +144,16 @@
     assert "NOT_RUN_DEADLINE" in scheduler.explain("refused")[0]
 
 
+def test_a_placement_is_recorded_with_the_inputs_that_decided_it(scheduler):
+    add(scheduler, run_time_s=0.5)
+    scheduler.plan(0.25)
+    (placed,) = scheduler.placements("job")
+    assert (placed.task, placed.attempt, placed.endpoint) == (0, 1, "e")
+    assert (placed.waited_s, placed.speed) == (0.25, scheduler.endpoint_speed("e"))
+    assert placed.estimate_s == pytest.approx(0.5, rel=0.5)
+    assert scheduler.placements("unknown") == []
+
+
 def test_an_attempt_that_already_runs_counts_as_started_when_queued(scheduler):
     lift_trial_limit(scheduler)
     add(scheduler, restart=RestartRule.IF_OVER, now_s=10.0)
