Give fast endpoints first to the jobs that only they end in time

Cause: endpoints were given out to whoever was first in the order, fastest first, and small jobs come first. One endpoint in four takes 0.55 times as long as usual, the others 1.2 times. Short tasks, which are in time anywhere, held the fast ones, so that 45% of the long tasks started on slow ones and the longest could not end there by the deadline. They were moved, the moved ones waited 0.45 s at the 90th percentile for a fast endpoint, and their jobs were abandoned. What binds a job is its deadline, and neither order nor placement looked at it.

Change: the speed that makes a task safe from its deadline is worked out in one place. A task whose caller waits does not start on a slower endpoint while one that is fast enough is busy, for 15% of its time at most, and does not take a slower one because the rest of its job ends later. Jobs that need more than the usual speed, and moved tasks, come first.

--- /dev/null
+++ b/currantwell/deadline_speed.py
@@ -0,0 +1,35 @@
+"""The endpoint speed at which a task is safe from its job's deadline.
+
+A task that needs more than the usual speed can end in time on some endpoints only.
+"""
+
+import math
+
+__all__ = ["USUAL_SPEED", "speed_for_deadline"]
+
+USUAL_SPEED = 1.0
+# A run time exceeds its estimate by this factor in one of ten tasks.
+RUN_TIME_MARGIN_FACTOR = 1.5
+# A start and the report of its end, on a busy host.
+CALLS_S = 0.02
+
+
+def speed_for_deadline(estimate_s: float, deadline_s: float, now_s: float) -> float:
+    """Return the lowest speed of an endpoint that is likely to end a task in time.
+
+    Parameters
+    ----------
+    estimate_s : float
+        Estimated run time at speed 1, in seconds.
+    deadline_s, now_s : float
+        The deadline and the current time, on the runtime's clock.
+
+    Returns
+    -------
+    float
+        The speed; infinite if the deadline is too near for any endpoint.
+    """
+    left_s = deadline_s - now_s - CALLS_S
+    if left_s <= 0:
+        return math.inf
+    return RUN_TIME_MARGIN_FACTOR * estimate_s / left_s
--- a/currantwell/placement.py
+++ b/currantwell/placement.py
@@ -4,10 +4,16 @@
 before the job's last task, leaves the faster endpoints to the tasks on the critical
 path. A task without slack waits, rather than start on a slow endpoint, if a faster
 one that is busy is likely to end it sooner.
+
+A task whose caller waits for the answer does not start on an endpoint that is unlikely
+to end it by the deadline while a faster one is busy: it waits for that one, for a
+bounded time.
 """
 
+import math
 from collections.abc import Sequence
 
+from .deadline_speed import speed_for_deadline
 from .endpoint_load import EndpointLoad
 from .policies import Choice, Reason
 from .presets import Preset
@@ -20,6 +26,9 @@
 MEAN_RUN_WINDOW_TASKS = 200
 MIN_GAIN_S = 0.005
 WAIT_SAFETY_FACTOR = 4.0
+# Share of the time to its deadline for which a task waits for an endpoint that is fast
+# enough.
+DEADLINE_WAIT_SHARE = 0.15
 
 
 class TailAwarePlacement:
@@ -81,11 +90,17 @@
     def _choose(
         self, task: WaitingTask, candidates: Sequence[EndpointLoad], now_s: float
     ) -> Choice:
+        deadline_speed = _deadline_speed(task, now_s)
         if self._use_slack:
-            slowest = self._slowest_in_time(task, candidates, now_s)
+            job_end_speed = self._speed_by_job_end(task, now_s)
+            slowest = _slowest(candidates, max(job_end_speed, deadline_speed))
             if slowest is not None:
                 return Choice(slowest, Reason.SLACK)
         fastest = candidates[0]
+        if fastest.speed < deadline_speed and self._waits_for_deadline(
+            task, deadline_speed, now_s
+        ):
+            return Choice(None, Reason.WAIT_FOR_DEADLINE)
         if self._may_wait(task, now_s) and self._ends_sooner_if_waits(task, fastest):
             self._waiting_for_faster += 1
             if task.waits_for_faster_since_s is None:
@@ -93,24 +108,29 @@
             return Choice(None, Reason.WAIT_FOR_FASTER)
         return Choice(fastest, Reason.FASTEST)
 
-    def _slowest_in_time(
-        self, task: WaitingTask, candidates: Sequence[EndpointLoad], now_s: float
-    ) -> EndpointLoad | None:
-        """Return the slowest candidate that ends the task within the job's slack."""
+    def _speed_by_job_end(self, task: WaitingTask, now_s: float) -> float:
+        """Return the lowest speed that ends a task before its job's last task."""
         queued_job = task.queued_job
         if queued_job is None:
-            return None
+            return math.inf
         slack_s = max(
             queued_job.expected_end_s - now_s, queued_job.work_s / self._capacity
         )
         slack_s = SLACK_SHARE * max(
             slack_s, queued_job.longest_s / self._endpoints[0].speed
         )
-        needed = task.estimate_s / max(1e-9, slack_s)
-        for load in reversed(candidates):
-            if load.speed >= needed:
-                return load
-        return None
+        return task.estimate_s / max(1e-9, slack_s)
+
+    def _waits_for_deadline(
+        self, task: WaitingTask, speed: float, now_s: float
+    ) -> bool:
+        """Return whether a task waits for a busy endpoint that has a given speed."""
+        if not self._wait_faster or self._endpoints[0].speed < speed:
+            return False
+        if task.waits_for_faster_since_s is None:
+            task.waits_for_faster_since_s = now_s
+        since_s = task.waits_for_faster_since_s
+        return now_s - since_s < DEADLINE_WAIT_SHARE * (task.deadline_s - since_s)
 
     def _may_wait(self, task: WaitingTask, now_s: float) -> bool:
         """Return whether a task may still wait for a faster endpoint."""
@@ -148,6 +168,25 @@
         self._mean_run_s += deviation_s / MEAN_RUN_WINDOW_TASKS
 
 
+def _deadline_speed(task: WaitingTask, now_s: float) -> float:
+    """Return the speed that makes a task safe from its deadline.
+
+    It is 0 for a task whose caller does not wait for the answer.
+    """
+    queued_job = task.queued_job
+    if queued_job is None or math.isinf(queued_job.target_completion_s):
+        return 0.0
+    return speed_for_deadline(task.estimate_s, task.deadline_s, now_s)
+
+
+def _slowest(candidates: Sequence[EndpointLoad], speed: float) -> EndpointLoad | None:
+    """Return the slowest of the candidates that has at least a given speed."""
+    for load in reversed(candidates):
+        if load.speed >= speed:
+            return load
+    return None
+
+
 def _nearest(
     task: WaitingTask, candidates: Sequence[EndpointLoad]
 ) -> Sequence[EndpointLoad]:
--- a/currantwell/policies.py
+++ b/currantwell/policies.py
@@ -34,6 +34,7 @@
     SLACK = "a slower endpoint, which still ends before the job's last task"
     NO_CAPACITY = "no endpoint with room fits"
     WAIT_FOR_FASTER = "a faster endpoint will soon be free and end it sooner"
+    WAIT_FOR_DEADLINE = "only a faster endpoint, which is busy, ends it by the deadline"
     LONG_SHARE = "long tasks hold the share of slots that the preset gives them"
     OVER_SHARE = "its team is over its share; other teams go first"
     LOWER_PRIORITY = "other tasks go first"
--- a/currantwell/target_time_ordering.py
+++ b/currantwell/target_time_ordering.py
@@ -1,12 +1,18 @@
 """Orders jobs by whether they can still meet their target completion time.
 
-Jobs that can still meet it come before those that can't. Within both, jobs that have
-started tasks come first, since the work already done is lost when such a job fails.
-Ties are broken by the rank by arrival and size of `ordering`.
+Jobs that only a fast endpoint ends by their deadline come first, and tasks that were
+moved to one: they take few endpoints, and those that they leave suit the other jobs.
+
+Of the others, jobs that can still meet their target come before those that can't.
+Within both, jobs that have started tasks come first, since the work already done is
+lost when such a job fails. Ties are broken by the rank by arrival and size of
+`ordering`.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 
+from .deadline_speed import USUAL_SPEED, speed_for_deadline
 from .ids import JobId
 from .ordering import RANK_STRETCH, RankedJob, size_of
 from .scheduler_types import QueuedJob, WaitingTask
@@ -17,19 +23,36 @@
 class _TargetedJob:
     """The waiting tasks of a job with the estimates that they have in common."""
 
-    __slots__ = ("estimates", "job")
+    __slots__ = ("deadline_s", "estimates", "job", "moved")
 
-    def __init__(self, job: RankedJob, estimates: QueuedJob | None) -> None:
+    def __init__(self, job: RankedJob, task: WaitingTask) -> None:
         self.job = job
-        self.estimates = estimates
+        self.estimates = task.queued_job
+        self.deadline_s = task.deadline_s
+        self.moved = task.moved
 
-    def key(self, now_s: float) -> tuple[bool, bool, float]:
+    def key(self, now_s: float) -> tuple[bool, bool, bool, float]:
         """Return the sort key; the job with the lowest key starts first."""
         estimates = self.estimates
         if estimates is None:
-            return False, False, self.job.rank
+            return True, False, False, self.job.rank
         late = now_s + estimates.longest_s > estimates.target_completion_s
-        return late, not estimates.expected_end_s, self.job.rank
+        return (
+            not self._needs_fast_endpoint(estimates, now_s),
+            late,
+            not estimates.expected_end_s,
+            self.job.rank,
+        )
+
+    def _needs_fast_endpoint(self, estimates: QueuedJob, now_s: float) -> bool:
+        """Return whether an endpoint of the usual speed is too slow for the deadline.
+
+        A job whose deadline no endpoint can meet does not need one.
+        """
+        if self.moved:
+            return True
+        speed = speed_for_deadline(estimates.longest_s, self.deadline_s, now_s)
+        return USUAL_SPEED < speed < math.inf
 
 
 class TargetTimeOrdering:
@@ -53,7 +76,7 @@
         rank = now_s + self._stretch * size_of(tasks, self._slots)
         ordered = sorted(reversed(tasks), key=lambda task: task.estimate_s)
         job = RankedJob(rank, self._sequence, ordered)
-        targeted = _TargetedJob(job, tasks[0].queued_job)
+        targeted = _TargetedJob(job, tasks[0])
         self._jobs.setdefault(tasks[0].job, []).append(targeted)
 
     def candidates(self, slots: int, now_s: float) -> Iterable[WaitingTask]:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -52,6 +52,32 @@
     assert second.endpoint is loads[2]
 
 
+def waited_for(task, deadline_s, target_s=1.0):
+    """Make the task one of a job whose caller waits for the answer."""
+    in_job(task, task.estimate_s).queued_job.target_completion_s = target_s
+    task.deadline_s = deadline_s
+    return task
+
+
+@pytest.mark.parametrize(
+    ("estimate_s", "reason"),
+    [(1.1, Reason.WAIT_FOR_DEADLINE), (0.2, Reason.FASTEST), (3.0, Reason.FASTEST)],
+)
+def test_a_task_waits_only_for_an_endpoint_that_alone_ends_it_by_the_deadline(
+    loads, estimate_s, reason
+):
+    preset = msgspec.structs.replace(ORDINARY, wait_faster_s=0.0)
+    task = waited_for(waiting_task(estimate_s=estimate_s), deadline_s=1.4)
+    assert choose(loads, task, loads[1:], preset).reason is reason
+    assert choose(loads, task, loads[1:], preset, now_s=0.3).endpoint is loads[1]
+
+
+def test_a_task_with_slack_in_its_job_avoids_endpoints_too_slow_for_the_deadline(loads):
+    task = waited_for(waiting_task(estimate_s=0.8), deadline_s=1.4)
+    task.queued_job.expected_end_s = 9.0
+    assert choose(loads, task).endpoint.speed == USUAL
+
+
 def test_a_preset_without_waits_uses_the_free_endpoint(loads):
     preset = msgspec.structs.replace(ORDINARY, wait_faster_s=0.0)
     task = in_job(waiting_task(estimate_s=5.0), longest_s=5.0)
--- a/tests/test_target_time_ordering.py
+++ b/tests/test_target_time_ordering.py
@@ -11,7 +11,13 @@
 
 
 def a_job(
-    name, tasks=1, estimate_s=0.1, target_completion_s=math.inf, expected_end_s=0.0
+    name,
+    tasks=1,
+    estimate_s=0.1,
+    target_completion_s=math.inf,
+    expected_end_s=0.0,
+    deadline_s=math.inf,
+    moved=False,
 ):
     group = QueuedJob(
         JobId(name),
@@ -24,7 +30,17 @@
     spec = TaskSpec("work")
     return [
         WaitingTask(
-            JobId(name), TEAM, index, 1, spec, math.inf, 0.0, estimate_s, False, group
+            JobId(name),
+            TEAM,
+            index,
+            1,
+            spec,
+            deadline_s,
+            0.0,
+            estimate_s,
+            False,
+            group,
+            moved=moved,
         )
         for index in range(tasks)
     ]
@@ -62,6 +78,18 @@
     assert order(a_job("large", estimate_s=1.0), a_job("small"))[0] == "small"
 
 
+def test_a_job_that_needs_a_fast_endpoint_comes_before_small_ones():
+    large = a_job("large", estimate_s=1.0, deadline_s=2.4)
+    assert order(a_job("small"), large) == ["large", "small"]
+    hopeless = a_job("hopeless", estimate_s=1.0, deadline_s=1.0)
+    assert order(a_job("small"), hopeless) == ["small", "hopeless"]
+
+
+def test_a_moved_task_comes_first():
+    moved = a_job("moved", estimate_s=1.0, moved=True)
+    assert order(a_job("old", expected_end_s=1.3), moved) == ["moved", "old"]
+
+
 def test_discarded_tasks_are_not_yielded():
     ordering = TargetTimeOrdering()
     tasks = a_job("job", tasks=2)
