--- a/currantwell/deadline_speed.py
+++ b/currantwell/deadline_speed.py
@@ -8,7 +8,7 @@
 __all__ = ["USUAL_SPEED", "speed_for_deadline"]
 
 USUAL_SPEED = 1.0
-# A run time exceeds its estimate by this factor in one of ten tasks.
+# Allows for run times that exceed their estimates.
 RUN_TIME_MARGIN_FACTOR = 1.5
 # A start and the report of its end, on a busy host.
 CALLS_S = 0.02
