Repeat writes on a full disk in place of ending the process

A full disk was handled as damage, although nothing was durable that anybody had been told of.

The member repeats the write until it succeeds, with at most 0.5 s between. Meanwhile it stops leading, drops what it receives, ticks no more, and lets go of requests of other hosts, which otherwise hold all 64 places for requests after a while. To the others it is like one that is cut off, so that no promise can rest on a record that isn't synced. A start waits likewise.

Events 402 to 404.

--- a/currantwell/consensus.py
+++ b/currantwell/consensus.py
@@ -105,6 +105,11 @@
         self._append([Entry(self.log.last_index + 1, self.term, command)])
         return True
 
+    def stop_leading(self) -> None:
+        """Become a follower if this member leads; it may campaign again later."""
+        if self._leader_state is not None:
+            self._become_follower(self.term, None)
+
     def start_read(self) -> int | None:
         """Start a linearizable read by confirming that this member still leads.
 
--- a/currantwell/errors.py
+++ b/currantwell/errors.py
@@ -9,6 +9,7 @@
     "BodyTooLarge",
     "CurrantwellError",
     "Deposed",
+    "DiskUnavailable",
     "EndpointUnreachable",
     "InvalidKey",
     "InvalidRequest",
@@ -114,6 +115,10 @@
     """A write to disk or a sync failed."""
 
 
+class DiskUnavailable(StorageFailed):
+    """The disk is full or reported another error; the same write may succeed later."""
+
+
 class JournalDamaged(CurrantwellError):
     """A journal has a corrupt record before its tail."""
 
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -104,6 +104,25 @@
 STORAGE_FAILED = _event(
     400, "storage_failed", Level.ERROR, "A write to disk failed; the host stops."
 )
+DISK_UNAVAILABLE = _event(
+    402,
+    "disk_unavailable",
+    Level.ERROR,
+    "A write to disk failed, for example since the disk is full. The host repeats it "
+    "until it succeeds, and takes no part in the agreement meanwhile.",
+)
+DISK_USABLE = _event(
+    403,
+    "disk_usable",
+    Level.INFO,
+    "A write that had failed has succeeded; after_s tells how long it was repeated.",
+)
+COMPACTION_FAILED = _event(
+    404,
+    "compaction_failed",
+    Level.WARNING,
+    "There was no room to compact a journal; it is kept, and compacted later.",
+)
 PRIMARY_STARTED = _event(
     700,
     "primary_started",
--- a/currantwell/raft_agreement.py
+++ b/currantwell/raft_agreement.py
@@ -3,11 +3,14 @@
 Invariants: a single task processes the outputs in order; nothing that depends on a
 record is sent, applied or reported before the record is synced. A proposal returns once
 it is applied on this host.
+
+A member whose disk refuses a write repeats the write until it succeeds. Meanwhile it
+doesn't lead, and is to the others like one that is cut off.
 """
 
 import random
 import secrets
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
 from typing import TypeVar
 
@@ -28,7 +31,7 @@
     member_id,
 )
 from .consensus_output import Output
-from .errors import AgreementLost, PeerUnreachable
+from .errors import AgreementLost, DiskUnavailable, PeerUnreachable
 from .ids import HostId
 from .journal import Journal
 from .kernel import ServiceName
@@ -60,6 +63,9 @@
 SNAPSHOT_INTERVAL_ENTRIES = 1_000
 # Longer than a host takes to restart after a power failure of a few seconds.
 VOTER_REPLACE_AFTER_S = 5.0
+MIN_WRITE_RETRY_S = 0.05
+MAX_WRITE_RETRY_S = 0.5
+COMPACTION_RETRY_S = 5.0
 INCARNATION_BYTES = 6
 MAX_COMMAND_BYTES = 256 * 1024
 
@@ -147,6 +153,8 @@
         self._reads: dict[int, _Waiter] = {}
         self._known_leader: HostId | None = None
         self._leader_changed = trio.Event()
+        self._write_failing = False
+        self._compact_after_s = 0.0
 
     @property
     def leader(self) -> HostId | None:
@@ -172,12 +180,14 @@
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Run the member until cancelled.
 
+        It reports as started once its start is recorded, which waits for the disk.
+
         Raises
         ------
         StorageFailed
-            If a write to the journal failed; the member can't continue.
+            If a record can't be stored even on a disk that works.
         """
-        await self._storage.record_start(self._core.member)
+        await self._write(lambda: self._storage.record_start(self._core.member))
         self._register_handlers()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._tick_loop)
@@ -350,7 +360,34 @@
 
     # Running the core and processing its outputs.
 
+    async def _write(
+        self,
+        write: Callable[[], Awaitable[object]],
+        on_retry: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Repeat a write until the disk takes it."""
+        started_s, retry_s = now_s(), MIN_WRITE_RETRY_S
+        while True:
+            try:
+                await write()
+                break
+            except DiskUnavailable as error:
+                if not self._write_failing:
+                    self._write_failing = True
+                    events.DISK_UNAVAILABLE.log(host=self._host, error=str(error))
+                    self._core.stop_leading()
+                    self._update_leader()
+            on_retry()
+            await trio.sleep(retry_s)
+            retry_s = min(2 * retry_s, MAX_WRITE_RETRY_S)
+        if self._write_failing:
+            self._write_failing = False
+            after_s = round(now_s() - started_s, 3)
+            events.DISK_USABLE.log(host=self._host, after_s=after_s)
+
     def _receive(self, envelope: Envelope) -> None:
+        if self._write_failing:
+            return
         self._core.receive(envelope, now_s())
         self._wake()
 
@@ -360,6 +397,9 @@
     async def _tick_loop(self) -> None:
         jitter = random.SystemRandom()
         while True:
+            if self._write_failing:
+                await trio.sleep(MAX_TICK_S)
+                continue
             self._core.tick(now_s(), jitter.random())
             if self._target_voters:
                 self._core.replace_unresponsive_voters(
@@ -377,7 +417,7 @@
             output = self._core.take_output()
             self._transport.send(output.messages, nursery)
             if output.needs_sync:
-                await self._storage.save(output)
+                await self._save(output, nursery)
                 self._core.mark_synced(output)
                 self._wake()
             self._transport.send_replies(requests, output.replies, nursery)
@@ -386,6 +426,13 @@
             self._update_leader()
             self._compact()
 
+    async def _save(self, output: Output, nursery: trio.Nursery) -> None:
+        def drop_requests() -> None:
+            dropped = self._transport.take_open_requests()
+            self._transport.send_replies(dropped, (), nursery)
+
+        await self._write(lambda: self._storage.save(output), drop_requests)
+
     def _apply_all(self, output: Output) -> None:
         if output.snapshot is not None:
             snapshot = output.snapshot
@@ -431,10 +478,15 @@
             events.LEADER_CHANGED.log(leader=self.leader, term=self._core.term)
 
     def _compact(self) -> None:
-        snapshot_index = self._storage.snapshot.index
-        if self._applied_index - snapshot_index >= self._snapshot_every:
-            snapshot = self._core.compact(self._applied_index, self._table.snapshot())
+        new_entries = self._applied_index - self._storage.snapshot.index
+        if new_entries < self._snapshot_every or now_s() < self._compact_after_s:
+            return
+        snapshot = self._core.compact(self._applied_index, self._table.snapshot())
+        try:
             self._storage.compact(snapshot)
+        except DiskUnavailable as error:
+            events.COMPACTION_FAILED.log(host=self._host, error=str(error))
+            self._compact_after_s = now_s() + COMPACTION_RETRY_S
 
 
 def _proposer(proposal: Proposal) -> tuple[MemberId, int]:
--- a/currantwell/raft_storage.py
+++ b/currantwell/raft_storage.py
@@ -75,8 +75,8 @@
 
         Raises
         ------
-        StorageFailed
-            If the write failed.
+        DiskUnavailable
+            If the disk reports an error; the call may be repeated.
         """
         member = self.member or new_member
         await self._write([_Started(member, self.start_count + 1)])
@@ -87,8 +87,8 @@
 
         Raises
         ------
-        StorageFailed
-            If the write failed.
+        DiskUnavailable
+            If the disk reports an error; the call may be repeated.
         """
         records: list[_Record] = []
         if output.hard_state is not None:
@@ -104,8 +104,8 @@
 
         Raises
         ------
-        StorageFailed
-            If the write failed.
+        DiskUnavailable
+            If the disk reports an error; the call may be repeated.
         """
         assert self.member is not None
         kept = [entry for entry in self.entries if entry.index > snapshot.index]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,6 +1,7 @@
 """Test data builders, and fakes of the cluster for tests."""
 
 import dataclasses
+import errno
 import json
 import socket
 from contextlib import ExitStack
@@ -36,7 +37,7 @@
     JobId,
     job_id,
 )
-from currantwell.journal import MemoryJournal
+from currantwell.journal import MemoryJournal, SystemDisk
 from currantwell.peers import PeerTransport
 from currantwell.placement import TailAwarePlacement
 from currantwell.raft_agreement import RaftAgreement
@@ -50,6 +51,19 @@
 KEY_TEXT = "k" * 64 + "\n"
 
 
+class FillableDisk(SystemDisk):
+    """Refuses each write of more than `room_bytes`, after so many bytes of it."""
+
+    def __init__(self, room_bytes=None):
+        self.room_bytes = room_bytes
+
+    def write(self, fd, data):
+        if self.room_bytes is not None and len(data) > self.room_bytes:
+            super().write(fd, data[: self.room_bytes])
+            raise OSError(errno.ENOSPC, "injected failure")
+        return super().write(fd, data)
+
+
 class ListState:
     """State machine that records the commands applied to it."""
 
--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -7,9 +7,13 @@
 
 from currantwell.consensus_leader import RaftTiming
 from currantwell.errors import AgreementLost
-from tests.builders import AgreementCluster
+from currantwell.journal import DiskJournal
+from tests.builders import AgreementCluster, FillableDisk
 
 RECOVERY_TIMEOUT_S = 2.0
+# An operator gives up a change after four seconds, and asks another host each second.
+ACKNOWLEDGE_TIMEOUT_S = 4.0
+ATTEMPT_TIMEOUT_S = 1.0
 
 
 @asynccontextmanager
@@ -131,3 +135,138 @@
         assert len(leader.agreement.membership.voters) == 3
         await cluster.kill(others[1])
         await cluster.running[successor].agreement.propose(b"after")
+
+
+class FullDisks:
+    """The disks of a cluster's hosts, with journals in a folder of each host."""
+
+    def __init__(self, cluster, folder):
+        self._folder = folder
+        self.disks = {name: FillableDisk() for name in cluster.hosts}
+        for name in cluster.hosts:
+            self.open(cluster, name)
+
+    def open(self, cluster, name):
+        """Open a host's journal, as at a start of its process."""
+        path = self._folder / f"{name}.journal"
+        cluster.journals[name] = DiskJournal(path, self.disks[name])
+
+
+@asynccontextmanager
+async def cluster_on_disks(folder, **options):
+    with trio.fail_after(60):
+        async with trio.open_nursery() as nursery:
+            cluster = AgreementCluster(nursery, 3, **options)
+            disks = FullDisks(cluster, folder)
+            await cluster.start_all()
+            yield cluster, disks
+            nursery.cancel_scope.cancel()
+
+
+async def change_as_operator(cluster, command):
+    """Propose a command at one host after another until one acknowledges it."""
+    with trio.fail_after(ACKNOWLEDGE_TIMEOUT_S):
+        while True:
+            for run in cluster.running.values():
+                try:
+                    await run.agreement.propose(command.encode(), ATTEMPT_TIMEOUT_S)
+                except AgreementLost:
+                    continue
+                return
+
+
+@pytest.mark.parametrize("room_bytes", [0, 7])
+async def test_changes_go_on_after_disks_were_full_one_after_another(
+    tmp_path, room_bytes
+):
+    async with cluster_on_disks(tmp_path, snapshot_every=5) as (cluster, disks):
+        acknowledged = []
+        for _ in range(4):
+            leader = await cluster.leader()
+            disks.disks[leader.host].room_bytes = room_bytes
+            for _ in range(4):
+                command = str(len(acknowledged))
+                await change_as_operator(cluster, command)
+                acknowledged.append(command)
+            disks.disks[leader.host].room_bytes = None
+            await leader.agreement.read_barrier()
+        for run in list(cluster.running.values()):
+            command = f"at {run.host}"
+            await run.agreement.propose(command.encode(), ATTEMPT_TIMEOUT_S)
+            acknowledged.append(command)
+        first = cluster.running[cluster.hosts[0]]
+        await first.agreement.read_barrier()
+        await cluster.wait_alike(list(first.state.commands))
+        assert set(acknowledged) <= set(first.state.commands)
+        assert not any(run.ended.is_set() for run in cluster.running.values())
+
+
+async def test_a_leader_with_a_full_disk_leads_no_more_and_confirms_nothing(tmp_path):
+    async with cluster_on_disks(tmp_path) as (cluster, disks):
+        leader = await cluster.leader()
+        disks.disks[leader.host].room_bytes = 7
+        with pytest.raises(AgreementLost):
+            await leader.agreement.propose(b"lost", 0.1)
+        assert leader.agreement.leader != leader.host
+        others = [run for run in cluster.running.values() if run is not leader]
+        with trio.fail_after(RECOVERY_TIMEOUT_S):
+            await others[0].agreement.propose(b"after")
+        with pytest.raises(AgreementLost):
+            await leader.agreement.read_barrier(0.5)
+        assert "after" not in leader.state.commands
+        disks.disks[leader.host].room_bytes = None
+        await leader.agreement.read_barrier()
+        assert "after" in leader.state.commands
+
+
+async def test_a_full_disk_holds_no_request_of_another_host(tmp_path):
+    """Else its host would answer no request of any kind after some time."""
+    async with cluster_on_disks(tmp_path) as (cluster, disks):
+        leader = await cluster.leader()
+        slow = next(run for run in cluster.running.values() if run is not leader)
+        disks.disks[slow.host].room_bytes = 7
+        await leader.agreement.propose(b"one")
+        await trio.sleep(1.0)
+        transport = slow.agreement._transport
+        assert sum(map(len, transport._open_requests.values())) < 10
+        disks.disks[slow.host].room_bytes = None
+        await slow.agreement.read_barrier()
+
+
+async def test_a_host_that_starts_on_a_full_disk_waits_for_room(tmp_path):
+    async with cluster_on_disks(tmp_path) as (cluster, disks):
+        leader = await cluster.leader()
+        name = next(name for name in cluster.hosts if name != leader.host)
+        await cluster.kill(name)
+        disks.disks[name].room_bytes = 7
+        disks.open(cluster, name)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(cluster.start, name)
+            await change_as_operator(cluster, "meanwhile")
+            assert name not in cluster.running
+            disks.disks[name].room_bytes = None
+        await cluster.running[name].agreement.propose(b"after")
+        await cluster.wait_alike(["meanwhile", "after"])
+
+
+async def test_a_journal_is_compacted_later_if_there_was_no_room(tmp_path, monkeypatch):
+    monkeypatch.setattr("currantwell.raft_agreement.COMPACTION_RETRY_S", 0.1)
+    async with cluster_on_disks(tmp_path, snapshot_every=10) as (cluster, disks):
+        run = await cluster.leader()
+        path = tmp_path / f"{run.host}.journal"
+        for disk in disks.disks.values():
+            disk.room_bytes = 600
+        for number in range(15):
+            await run.agreement.propose(b"%0100d" % number)
+        assert path.stat().st_size > 15 * 100
+        for disk in disks.disks.values():
+            disk.room_bytes = None
+        await trio.sleep(0.2)
+        await run.agreement.propose(b"room")
+        assert run.agreement._storage.snapshot.index >= 15
+        for name in cluster.hosts:
+            await cluster.kill(name)
+            disks.open(cluster, name)
+        await cluster.start_all()
+        await cluster.running[run.host].agreement.read_barrier()
+        assert len(cluster.running[run.host].state.commands) == 16
