Wait once in a call to an endpoint

A call passed the event loop four times, once to take a slot of the semaphore and once after the write, where nothing was waited for, and it tried to receive before anything could be there.

The new test counts how often the calling task is resumed: 150 times for 50 calls before, 50 now.

--- a/currantwell/call_client.py
+++ b/currantwell/call_client.py
@@ -1,8 +1,8 @@
 """Lightweight HTTP client for frequent short requests over persistent connections.
 
 `httpcore` spends 0.6 ms of CPU time on a request, most of it in its pool and in `h11`;
-this client parses with `httptools` and sends a request in one write. Streams and
-infrequent requests use `http_client`.
+this client parses with `httptools`, sends a request in one write and waits once, for
+the reply. Streams and infrequent requests use `http_client`.
 
 Invariant: a connection carries one request at a time, and is closed unless its reply
 was received completely, so that a reply is never matched to another request.
@@ -15,6 +15,7 @@
 import trio
 
 from .clock import now_s
+from .direct_stream import DirectStream, open_direct_stream
 from .errors import EndpointUnreachable
 from .http_client import HttpReply
 
@@ -43,7 +44,7 @@
         Time on the process clock at which the last reply was complete.
     """
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: DirectStream) -> None:
         self._stream = stream
         self._parser = httptools.HttpResponseParser(self)
         self._chunks: list[bytes] = []
@@ -79,7 +80,7 @@
 
     def close(self) -> None:
         """Close the socket immediately."""
-        self._stream.socket.close()
+        self._stream.close()
 
     def on_body(self, body: bytes) -> None:
         """Store a chunk of the reply's body (callback of the parser)."""
@@ -143,8 +144,11 @@
         )
         try:
             with trio.fail_after(timeout_s):
-                async with self._connection_slots:
+                await self._acquire_slot()
+                try:
                     return await self._call(request)
+                finally:
+                    self._connection_slots.release()
         except (trio.TooSlowError, *_NETWORK_ERRORS) as error:
             raise EndpointUnreachable(f"{self._url}: {error!r}") from error
 
@@ -153,11 +157,17 @@
         while self._idle:
             self._idle.pop().close()
 
+    async def _acquire_slot(self) -> None:
+        """Take a slot; waits, unlike the semaphore itself, only if none is free."""
+        try:
+            self._connection_slots.acquire_nowait()
+        except trio.WouldBlock:
+            await self._connection_slots.acquire()
+
     async def _call(self, request: bytes) -> HttpReply:
         connection = self._pop_idle()
         if connection is None:
-            stream = await trio.open_tcp_stream(self._host, self._port)
-            connection = _Connection(stream)
+            connection = _Connection(await open_direct_stream(self._host, self._port))
         reusable = False
         try:
             reply = await connection.call(request)
--- /dev/null
+++ b/currantwell/direct_stream.py
@@ -0,0 +1,109 @@
+"""TCP streams that leave out the checkpoints of `trio.SocketStream`.
+
+A checkpoint costs a pass of the event loop and a system call, more than the write that
+it follows. A stream here waits only when the kernel has no space or no data, so a
+request and its reply take one wait.
+"""
+
+import errno
+import os
+import socket
+from typing import Self
+
+import trio
+
+__all__ = ["DirectStream", "open_direct_stream"]
+
+RECEIVE_BYTES = 64 * 1024
+
+
+class DirectStream(trio.abc.Stream):
+    """A TCP connection whose sends are tried at once.
+
+    Parameters
+    ----------
+    connected : socket.socket
+        The connection; the stream takes ownership of it.
+    """
+
+    def __init__(self, connected: socket.socket) -> None:
+        connected.setblocking(False)
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.socket = connected
+
+    @classmethod
+    def taken_from(cls, stream: trio.SocketStream) -> Self:
+        """Return a stream that takes over the connection of another one."""
+        return cls(socket.socket(fileno=stream.socket.detach()))
+
+    def send_now(self, data: bytes | bytearray | memoryview) -> int:
+        """Send what the kernel accepts without waiting; return the number of bytes.
+
+        Raises
+        ------
+        trio.BrokenResourceError
+            If the connection is lost or closed.
+        """
+        try:
+            return self.socket.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Send all data; waits only while the kernel's buffer is full."""
+        sent = self.send_now(data)
+        with memoryview(data) as remaining:
+            while sent < len(remaining):
+                await trio.lowlevel.wait_writable(self.socket)
+                sent += self.send_now(remaining[sent:])
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Return once `send_all` may be able to send without waiting."""
+        await trio.lowlevel.wait_writable(self.socket)
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Return received data as soon as there is some, none at the end of stream."""
+        while True:
+            await trio.lowlevel.wait_readable(self.socket)
+            try:
+                return self.socket.recv(max_bytes or RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise trio.BrokenResourceError(str(error)) from error
+
+    def close(self) -> None:
+        """Close the connection; tasks that wait for it get `ClosedResourceError`."""
+        if self.socket.fileno() >= 0:
+            trio.lowlevel.notify_closing(self.socket)
+            self.socket.close()
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        self.close()
+        await trio.lowlevel.checkpoint()
+
+
+async def open_direct_stream(host: str, port: int) -> DirectStream:
+    """Connect to an IPv4 address.
+
+    Raises
+    ------
+    OSError
+        If the connection fails.
+    """
+    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        connection.setblocking(False)
+        error = connection.connect_ex((host, port))
+        if error == errno.EINPROGRESS:
+            await trio.lowlevel.wait_writable(connection)
+            error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, os.strerror(error), f"{host}:{port}")
+        return DirectStream(connection)
+    except BaseException:
+        connection.close()
+        raise
--- a/tests/test_call_client.py
+++ b/tests/test_call_client.py
@@ -8,6 +8,7 @@
 
 from currantwell.call_client import STALE_CHECK_AFTER_IDLE_S, CallClient
 from currantwell.errors import EndpointUnreachable
+from tests.step_counter import StepCounter
 
 REPLY = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 REJECTED = b"HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n"
@@ -116,3 +117,29 @@
                 nursery.start_soon(client.post, "/a", b"{}", 2.0)
         assert server.connections == 2
         assert len(server.requests) == 6
+
+
+async def test_a_call_over_an_open_connection_waits_only_for_its_reply():
+    # Most of the processor time of a call was spent in checkpoints that waited for
+    # nothing.
+    calls = 50
+    counter = StepCounter()
+
+    async def serve(stream):
+        async for _ in stream:
+            await stream.send_all(REPLY)
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await nursery.start(
+            partial(trio.serve_tcp, serve, 0, host="127.0.0.1")
+        )
+        port = listener.socket.getsockname()[1]
+        client = CallClient(f"http://127.0.0.1:{port}")
+        await client.post("/a", b"{}", 1.0)
+        trio.lowlevel.add_instrument(counter)
+        for _ in range(calls):
+            await client.post("/a", b"{}", 1.0)
+        trio.lowlevel.remove_instrument(counter)
+        await client.close()
+        nursery.cancel_scope.cancel()
+    assert counter.steps[trio.lowlevel.current_task()] <= calls
