Write a message to another host without waking a task

A dispatcher reports its capacity to every entry host, 34 of them in a deployment of 35, and each report woke the sending task of each channel, which passed the event loop twice, with a new timeout and event each time. Receiving one took a timeout of its own and two tries.

A channel now writes at once as long as the kernel accepts it; its task sends pings and what did not fit, and watches for silence in the same wait. The timeouts are the same. What arrived before the silence was noticed is received first: before, a channel of a process that was paused could be closed with data at hand, which its test shows.

The new test counts passes of the event loop: 200 of the sending task for 100 messages before, below 50 now.

--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -16,7 +16,7 @@
 from ..errors import AgreementLost
 from ..ids import EndpointId, HostId
 from ..kernel import ServiceName
-from .channel import Channel, encode, open_channel
+from .channel import Channel, accept_channel, encode, open_channel
 from .endpoint_registry import EndpointRegistry, HintStore
 from .fleet_state import FleetState, PutConfiguration, SetOwner, encode_command
 from .messages import (
@@ -178,7 +178,7 @@
     # Channels.
 
     async def _accept(self, stream: trio.SocketStream) -> None:
-        await self._serve_channel(Channel(stream, CONTROL_PING_INTERVAL_S))
+        await self._serve_channel(accept_channel(stream, CONTROL_PING_INTERVAL_S))
 
     async def _serve_channel(self, channel: Channel) -> None:
         """Send the complete state to a host, and process what it sends.
--- a/currantwell/fleet/dispatcher_links.py
+++ b/currantwell/fleet/dispatcher_links.py
@@ -22,7 +22,7 @@
     max_update_interval_s,
     min_update_interval_s,
 )
-from .channel import PING_INTERVAL_S, Channel, encode, open_channel
+from .channel import PING_INTERVAL_S, Channel, accept_channel, encode, open_channel
 from .fleet_state import Ownership
 from .fleet_view import FleetView
 from .groups import EndpointGroup
@@ -290,7 +290,7 @@
     # Channels from other entry hosts.
 
     async def _accept(self, stream: trio.SocketStream) -> None:
-        channel = Channel(stream)
+        channel = accept_channel(stream)
         scopes: dict[int, trio.CancelScope] = {}
         async with trio.open_nursery() as nursery:
             nursery.start_soon(channel.run)
--- a/tests/fleet/test_channel.py
+++ b/tests/fleet/test_channel.py
@@ -1,5 +1,8 @@
 """Channels: complete messages in order, and detection of a lost peer."""
 
+import time
+from functools import partial
+
 import trio
 import trio.testing
 
@@ -7,10 +10,13 @@
     PING_INTERVAL_S,
     SILENCE_TIMEOUT_S,
     Channel,
+    accept_channel,
     encode,
+    open_channel,
 )
 from currantwell.fleet.messages import CancelJob, ConfigurationUpdate, Ping
 from tests.fleet.builders import a_configuration
+from tests.step_counter import StepCounter
 
 
 async def receive(channel, received):
@@ -101,3 +107,83 @@
     await near.send_all(b"\xff\xff\xff\xff")
     await receive(channel, [])
     assert channel.closed
+
+
+async def connected(nursery):
+    """Return the two ends of a channel over TCP, which both run."""
+    accepted = trio.Event()
+    ends = []
+
+    async def accept(stream):
+        ends.append(accept_channel(stream))
+        accepted.set()
+        await ends[0].run()
+
+    serve = partial(trio.serve_tcp, accept, 0, host="127.0.0.1")
+    (listener,) = await nursery.start(serve)
+    port = listener.socket.getsockname()[1]
+    near = await open_channel(f"127.0.0.1:{port}")
+    nursery.start_soon(near.run)
+    await accepted.wait()
+    return near, ends[0]
+
+
+async def test_a_message_costs_its_sender_no_pass_of_the_event_loop(nursery):
+    # A dispatcher that reports its capacity to many hosts spent most of its time at
+    # rest in the tasks that wrote the reports.
+    messages = 100
+    near, far = await connected(nursery)
+    received = []
+    nursery.start_soon(receive, far, received)
+    await trio.sleep(0.01)
+    counter = StepCounter()
+    trio.lowlevel.add_instrument(counter)
+    for number in range(messages):
+        near.send(CancelJob(number))
+        await trio.testing.wait_all_tasks_blocked()
+        while len(received) <= number:
+            await trio.sleep(0.001)
+    trio.lowlevel.remove_instrument(counter)
+    assert received == [CancelJob(number) for number in range(messages)]
+    assert counter.steps_of("Channel.run") < messages / 2
+    assert counter.steps_of("receive") <= 1.5 * messages
+    nursery.cancel_scope.cancel()
+
+
+async def test_messages_past_a_full_buffer_arrive_in_order(nursery):
+    near, far = await connected(nursery)
+    sent = [ConfigurationUpdate(a_configuration(number)) for number in range(20_000)]
+    for message in sent:
+        near.send(message)
+    received = []
+    nursery.start_soon(receive, far, received)
+    with trio.fail_after(10):
+        while len(received) < len(sent):
+            await trio.sleep(0.01)
+    assert received == sent
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_peer_that_goes_away_closes_the_channel(nursery):
+    near, far = await connected(nursery)
+    nursery.start_soon(receive, far, [])
+    near.close()
+    with trio.fail_after(SILENCE_TIMEOUT_S / 2):
+        while not far.closed:
+            await trio.sleep(0.01)
+    nursery.cancel_scope.cancel()
+
+
+async def test_what_arrived_before_the_silence_was_noticed_keeps_a_channel_open(
+    nursery,
+):
+    # After a pause of the whole process, the timeout and the data come together.
+    near, far = await connected(nursery)
+    nursery.start_soon(receive, far, [])
+    await trio.sleep(0.05)
+    near.send(CancelJob(1))
+    time.sleep(1.5 * SILENCE_TIMEOUT_S)
+    near.send(CancelJob(2))
+    await trio.sleep(PING_INTERVAL_S)
+    assert not far.closed
+    nursery.cancel_scope.cancel()
