--- a/tests/members.py
+++ b/tests/members.py
@@ -49,12 +49,21 @@
         self.pending = None
         self.reads = {}
         self.frozen = False
+        self.disk_full = False
+
+    @property
+    def waits_for_room(self):
+        """Whether an output can't be synced, since the disk is full."""
+        return self.disk_full and self.pending is not None
 
     def process_output(self):
         """Process an output up to its sync, or from the sync on.
 
         Return whether there was any output.
         """
+        if self.waits_for_room:
+            self.core.stop_leading()
+            return False
         output, self.pending = self.pending, None
         if output is not None:
             run_synchronously(self.storage.save(output))
@@ -124,7 +133,7 @@
         envelope = self.network[position] if keep else self.network.pop(position)
         sender, to = host_of(envelope.sender), host_of(envelope.to)
         node = self.nodes[to]
-        if (sender, to) in self.dropped_links or node.frozen:
+        if (sender, to) in self.dropped_links or node.frozen or node.waits_for_room:
             return
         node.core.receive(envelope, self.now_s)
         self.check()
@@ -132,7 +141,7 @@
     def advance_clock(self, seconds):
         self.now_s += seconds
         for node in self.nodes.values():
-            if not node.frozen:
+            if not node.frozen and not node.waits_for_room:
                 node.core.tick(self.now_s, self.random.random())
         self.check()
 
@@ -202,6 +211,17 @@
         self.dropped_links.clear()
         for node in self.nodes.values():
             node.frozen = False
+            node.disk_full = False
+
+    def fill_disks_in_turn(self, steps):
+        """Let each member's disk be full for a while, never two at once."""
+        for host in self.random.sample(self.hosts, len(self.hosts)):
+            self.heal()
+            leader = self.leader()
+            chosen = leader.host if leader and self.random.random() < 0.5 else host
+            for _ in range(steps):
+                self.nodes[chosen].disk_full = True
+                self.random.choices(self._steps, self._weights)[0](self)
 
     def take_random_steps(self, seed, steps):
         """Take random steps of members and network, during one kind of failure."""
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -201,6 +201,15 @@
     return False
 
 
+@pytest.mark.parametrize("count", [3, 5])
+def test_nothing_is_lost_while_disks_are_full_one_after_another(count):
+    for seed in range(60):
+        cluster = SimulatedCluster(count, seed=seed)
+        cluster.settle(1.0)
+        cluster.fill_disks_in_turn(steps=40)
+        cluster.check_recovers()
+
+
 def test_the_same_walks_find_no_fault_in_the_right_one():
     for seed in range(WALKS // 4):
         walk(Agreement, seed)
