--- a/currantwell/agreement.py
+++ b/currantwell/agreement.py
@@ -5,6 +5,8 @@
 import msgspec
 import trio
 
+from . import events
+from .errors import DiskUnavailable
 from .ids import HostId
 from .journal import Journal, MemoryJournal
 
@@ -131,7 +133,8 @@
         Raises
         ------
         StorageFailed
-            If the write fails; the command may still be applied after a restart.
+            If the write fails; the command may still be applied after a restart, unless
+            a later one succeeds before.
         """
         with trio.CancelScope(shield=True):
             async with self._lock:
@@ -158,5 +161,9 @@
     def _compact(self) -> None:
         if self._index - self._snapshot_index >= self._snapshot_every:
             snapshot = _Snapshot(self._index, self._state.snapshot())
-            self._journal.replace([msgspec.msgpack.encode(snapshot)])
+            try:
+                self._journal.replace([msgspec.msgpack.encode(snapshot)])
+            except DiskUnavailable as error:
+                events.COMPACTION_FAILED.log(host=self._host, error=str(error))
+                return
             self._snapshot_index = self._index
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -3,7 +3,7 @@
 from currantwell.agreement import LocalAgreement
 from currantwell.errors import StorageFailed
 from currantwell.journal import DiskJournal, MemoryJournal
-from tests.builders import ListState
+from tests.builders import FillableDisk, ListState
 
 
 class CountedState(ListState):
@@ -41,3 +41,29 @@
     with pytest.raises(StorageFailed):
         await agreement.propose(b"x")
     assert state.commands == []
+
+
+async def test_a_host_alone_accepts_commands_again_once_there_is_room(tmp_path):
+    disk, path = FillableDisk(), tmp_path / "agreed"
+    agreement = LocalAgreement("h-1", ListState(), DiskJournal(path, disk))
+    await agreement.propose(b"one")
+    disk.room_bytes = 7
+    for _ in range(2):
+        with pytest.raises(StorageFailed):
+            await agreement.propose(b"refused")
+    disk.room_bytes = None
+    await agreement.propose(b"two")
+    restarted = ListState()
+    LocalAgreement("h-1", restarted, DiskJournal(path))
+    assert restarted.commands == ["one", "two"]
+
+
+async def test_a_command_is_confirmed_though_there_is_no_room_to_compact(tmp_path):
+    disk, path = FillableDisk(200), tmp_path / "agreed"
+    state = CountedState()
+    agreement = LocalAgreement("h-1", state, DiskJournal(path, disk), snapshot_every=3)
+    for number in range(8):
+        assert await agreement.propose(b"%0100d" % number) == b"%d" % (number + 1)
+    disk.room_bytes = None
+    await agreement.propose(b"room")
+    assert len(list(DiskJournal(path).read())) == 1
