Archive audit entries that found no room at first

The archive counted entries as stored before they were. After a failed write, which the operators' API answers with 503 and lives on, they were missing from the archive until a restart, and for good once they had left the window. The new test fails on the code before.

--- a/currantwell/audit.py
+++ b/currantwell/audit.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 
 import msgspec
+import trio
 
 from .codes import ResultCode
 from .ids import ChangeId
@@ -202,6 +203,7 @@
 
     def __init__(self, journal: Journal) -> None:
         self._journal = journal
+        self._appending = trio.Lock()
         self.last = 0
         for entry in self.read():
             self.last = entry.number
@@ -219,7 +221,10 @@
         StorageFailed
             If the disk reports an error.
         """
-        new_entries = trail.entries_after(self.last)
-        if new_entries:
-            self.last = new_entries[-1].number
-            await self._journal.append([msgspec.msgpack.encode(e) for e in new_entries])
+        async with self._appending:
+            new_entries = trail.entries_after(self.last)
+            if new_entries:
+                await self._journal.append(
+                    [msgspec.msgpack.encode(entry) for entry in new_entries]
+                )
+                self.last = new_entries[-1].number
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -1,5 +1,6 @@
 import msgspec
 import pytest
+import trio
 
 from currantwell import audit
 from currantwell.audit import (
@@ -10,7 +11,9 @@
     verify_chain,
 )
 from currantwell.codes import ResultCode
+from currantwell.errors import StorageFailed
 from currantwell.journal import DiskJournal, MemoryJournal
+from tests.builders import FillableDisk
 
 
 def entry(author="ada", kind="set_preset", unix_s=1.0):
@@ -79,3 +82,18 @@
     reopened = AuditArchive(DiskJournal(tmp_path / "audit") if durable else journal)
     await reopened.append_new(audit_trail)
     assert verify_chain(reopened.read(), audit_trail.head.hash).last == 8
+
+
+async def test_entries_that_found_no_room_are_archived_later(tmp_path):
+    disk = FillableDisk(7)
+    audit_trail = AuditTrail()
+    archive = AuditArchive(DiskJournal(tmp_path / "audit", disk))
+    audit_trail.add(entry())
+    with pytest.raises(StorageFailed):
+        await archive.append_new(audit_trail)
+    disk.room_bytes = None
+    audit_trail.add(entry())
+    async with trio.open_nursery() as nursery:
+        for _ in range(3):
+            nursery.start_soon(archive.append_new, audit_trail)
+    assert [stored.number for stored in archive.read()] == [1, 2]
