Keep the saved endpoints of a control host when its disk is full

The file was emptied before it was written, so a full disk or a kill at that moment lost it, and it was not written again until the next change. A restart of all hosts then waits for heartbeats. It is replaced by a rename now, and saved again until that works; a failure is logged once in turn. The new test fails on the code before.

--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -372,6 +372,7 @@
                 self._heartbeats.clear()
             if self._registry_changed:
                 self._registry_changed = False
-                await self._registry.save()
+                if not await self._registry.save():
+                    self._registry_changed = True
             for endpoint in self._registry.remove_unresponsive(now_s()):
                 events.ENDPOINT_UNRESPONSIVE.log(endpoint=endpoint)
--- a/currantwell/fleet/endpoint_registry.py
+++ b/currantwell/fleet/endpoint_registry.py
@@ -32,8 +32,11 @@
         """Return the last saved value, None if there is none or it was lost."""
         ...
 
-    async def save(self, data: bytes) -> None:
-        """Replace the saved value."""
+    async def save(self, data: bytes) -> bool:
+        """Replace the saved value; return whether it was saved.
+
+        A value that is not saved leaves the previous one.
+        """
         ...
 
 
@@ -47,9 +50,10 @@
         """Return the last saved value, if any."""
         return self._data
 
-    async def save(self, data: bytes) -> None:
+    async def save(self, data: bytes) -> bool:
         """Replace the saved value."""
         self._data = data
+        return True
 
 
 class FileHintStore:
@@ -63,6 +67,8 @@
 
     def __init__(self, path: Path) -> None:
         self._path = path
+        self._new_path = path.with_name(path.name + ".new")
+        self._failing = False
 
     def load(self) -> bytes | None:
         """Return the content of the file, None if it can't be read."""
@@ -74,12 +80,25 @@
             events.HINT_UNAVAILABLE.log(path=self._path, error=str(error))
             return None
 
-    async def save(self, data: bytes) -> None:
-        """Replace the content of the file; a failure is logged only."""
+    async def save(self, data: bytes) -> bool:
+        """Replace the content of the file; only the first failure in turn is logged."""
         try:
-            await trio.to_thread.run_sync(self._path.write_bytes, data)
+            await trio.to_thread.run_sync(self._replace, data)
         except OSError as error:
-            events.HINT_UNAVAILABLE.log(path=self._path, error=str(error))
+            if not self._failing:
+                events.HINT_UNAVAILABLE.log(path=self._path, error=str(error))
+            self._failing = True
+            return False
+        self._failing = False
+        return True
+
+    def _replace(self, data: bytes) -> None:
+        try:
+            self._new_path.write_bytes(data)
+            self._new_path.rename(self._path)
+        except OSError:
+            self._new_path.unlink(missing_ok=True)
+            raise
 
 
 _decoder = msgspec.msgpack.Decoder(tuple[EndpointReport, ...])
@@ -144,9 +163,11 @@
             if endpoint in self._reports:
                 self._last_heartbeat_s[endpoint] = now_s
 
-    async def save(self) -> None:
-        """Save the reports to the hint store."""
-        await self._hint.save(msgspec.msgpack.encode(tuple(self._reports.values())))
+    async def save(self) -> bool:
+        """Save the reports to the hint store; return whether that was possible."""
+        return await self._hint.save(
+            msgspec.msgpack.encode(tuple(self._reports.values()))
+        )
 
     def remove_unresponsive(self, now_s: float) -> tuple[EndpointId, ...]:
         """Remove and return the endpoints without a heartbeat for `FORGET_AFTER_S`."""
--- a/tests/fleet/test_endpoint_registry.py
+++ b/tests/fleet/test_endpoint_registry.py
@@ -1,5 +1,8 @@
 """The registry keeps the latest report of each endpoint, also across restarts."""
 
+import errno
+from pathlib import Path
+
 import pytest
 
 from currantwell.fleet.endpoint_registry import (
@@ -68,3 +71,21 @@
 async def test_a_damaged_hint_is_ignored(hint):
     await hint.save(b"\xc1 torn")
     assert not list(a_registry(hint).reports)
+
+
+async def test_a_hint_that_finds_no_room_leaves_the_one_before(tmp_path, monkeypatch):
+    store = FileHintStore(tmp_path / "hint")
+    assert await store.save(b"before")
+
+    def write_part(path, data):
+        path.open("wb").write(data[:3])
+        raise OSError(errno.ENOSPC, "injected failure")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Path, "write_bytes", write_part)
+        for _ in range(2):
+            assert not await store.save(b"refused")
+    assert store.load() == b"before"
+    assert [file.name for file in tmp_path.iterdir()] == ["hint"]
+    assert await store.save(b"after")
+    assert store.load() == b"after"
