--- a/currantwell/log_sink.py
+++ b/currantwell/log_sink.py
@@ -74,7 +74,8 @@
             except BlockingIOError:
                 return
             except OSError:
-                # The reader is gone for good; discard the lines and keep running.
+                # The reader is gone, or the disk is full; discard the lines.
+                self.dropped += self._unwritten.count(b"\n")
                 self._unwritten.clear()
                 return
             del self._unwritten[:written]
--- a/tests/test_log_sink.py
+++ b/tests/test_log_sink.py
@@ -1,5 +1,6 @@
 """Log lines are complete, limited in rate, and never block the process."""
 
+import errno
 import json
 import logging
 import os
@@ -76,3 +77,20 @@
     os.close(read)
     LineSink(write).emit(record("{}"))
     os.close(write)
+
+
+def test_lines_that_a_full_disk_refused_are_counted(pipe, monkeypatch):
+    read, write = pipe
+    sink = LineSink(write)
+    with monkeypatch.context() as patch:
+        patch.setattr("os.write", refuse)
+        sink.emit(record("refused"))
+    assert sink.dropped == 1
+    sink.emit(record("written"))
+    left_out, written = map(json.loads, lines_in(read))
+    assert left_out["lines_left_out"] == 1
+    assert written["message"] == "written"
+
+
+def refuse(*_):
+    raise OSError(errno.ENOSPC, "injected failure")
