Report capacity when it changes, and plan when tasks wait

The scheduler now tells when the free capacity may have changed. Reports follow a change at once, as often as before at most, and are repeated at the same intervals; a heartbeat has the loop plan only if tasks wait. No decision changes: a plan without waiting tasks places nothing.

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import math
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager, suppress
 
 import trio
@@ -325,6 +325,10 @@
         """Return the free capacity of all endpoints in use."""
         return self._scheduler.free_capacity()
 
+    def notify_capacity_changes(self, callback: Callable[[], None]) -> None:
+        """Have a callback called when the free capacity may have changed."""
+        self._scheduler.on_capacity_change = callback
+
     def is_in_use(self, endpoint: EndpointId, incarnation: Incarnation) -> bool:
         """Return whether this incarnation of an endpoint is in use."""
         return self._roster.is_registered(endpoint, incarnation)
@@ -393,7 +397,7 @@
         self, endpoint: EndpointId, heartbeat: Heartbeat
     ) -> LeaseGrant | None:
         """Record a heartbeat and return the lease granted, if any."""
-        self._work_available.set()
+        self._plan_if_tasks_wait()
         return self._roster.record_heartbeat(endpoint, heartbeat)
 
     def progress_received(
@@ -460,6 +464,11 @@
         """Record whether an endpoint is reachable."""
         self._scheduler.set_endpoint_reachable(endpoint, reachable)
         if reachable:
+            self._plan_if_tasks_wait()
+
+    def _plan_if_tasks_wait(self) -> None:
+        """Have the dispatch loop plan, unless there is nothing to place."""
+        if self._scheduler.waiting_task_count:
             self._work_available.set()
 
     def newer_epoch_seen(self, endpoint: EndpointId) -> None:
@@ -690,8 +699,7 @@
             for job in self._scheduler.pop_expired_jobs(now):
                 await self._cancel_job(job, ResultCode.DEADLINE_PASSED)
             self._stop_stragglers(now)
-            if self._scheduler.waiting_task_count:
-                self._work_available.set()
+            self._plan_if_tasks_wait()
 
     def _stop_stragglers(self, now: float) -> None:
         """Stop straggling attempts; their tasks start again once they have ended."""
--- a/currantwell/fleet/capacity_updates.py
+++ b/currantwell/fleet/capacity_updates.py
@@ -63,6 +63,18 @@
     ) -> bool:
         """Return whether to send a report now; if so, it counts as sent.
 
+        The parameters are those of `due_s`.
+        """
+        if now_s() < self.due_s(report, min_interval_s, max_interval_s):
+            return False
+        self._last_sent[report.group] = (now_s(), report)
+        return True
+
+    def due_s(
+        self, report: CapacityReport, min_interval_s: float, max_interval_s: float
+    ) -> float:
+        """Return the time when a report is to be sent, if it does not change again.
+
         Parameters
         ----------
         report : CapacityReport
@@ -71,18 +83,13 @@
             Time since the last report was sent before which nothing is sent, and after
             which an unchanged report is repeated.
         """
-        now = now_s()
         sent_s, last = self._last_sent.get(report.group, (-math.inf, None))
-        if now - sent_s < min_interval_s:
-            return False
-        if now - sent_s < max_interval_s and last is not None:
-            changed = (
-                report != last if self._exact else _changed_significantly(last, report)
-            )
-            if not changed:
-                return False
-        self._last_sent[report.group] = (now, report)
-        return True
+        if last is None:
+            return sent_s
+        changed = (
+            report != last if self._exact else _changed_significantly(last, report)
+        )
+        return sent_s + (min_interval_s if changed else max_interval_s)
 
 
 def _changed_significantly(last: CapacityReport, report: CapacityReport) -> bool:
--- a/currantwell/fleet/dispatcher_links.py
+++ b/currantwell/fleet/dispatcher_links.py
@@ -5,7 +5,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 import msgspec
@@ -98,6 +98,7 @@
         self._accepted: dict[Channel, HostHello | None] = {}
         self._view_changed = trio.Event()
         self._dispatching = trio.Event()
+        self._capacity_changed = trio.Event()
         self._draining = False
         self._nursery: trio.Nursery | None = None
         view.on_change = self._note_change
@@ -217,6 +218,9 @@
     def _note_change(self) -> None:
         self._view_changed.set()
 
+    def _note_capacity_change(self) -> None:
+        self._capacity_changed.set()
+
     def _apply_ownerships(self, nursery: trio.Nursery) -> None:
         """Start and stop this host's dispatchers, and connect to new remote hosts."""
         own = self._hello
@@ -229,6 +233,7 @@
             if (ownership.host, ownership.incarnation) == (own.host, own.incarnation):
                 if local is None and not self._draining:
                     local = self._local[ownership.group] = self._make_local(ownership)
+                    local.on_capacity_change = self._note_capacity_change
                     nursery.start_soon(local.run)
                     self._dispatching.set()
                 continue
@@ -350,19 +355,36 @@
             for channel, hello in self._accepted.items():
                 near = hello is None or hello.data_centre == self._hello.data_centre
                 receivers[near].append(channel)
-            await trio.sleep(min_update_interval_s(len(receivers[True])))
-            min_interval_s = {
-                True: 0.0,
-                False: min_update_interval_s(len(self._accepted)),
+            intervals_s = {
+                near: (
+                    0.0 if near else min_update_interval_s(len(self._accepted)),
+                    max_update_interval_s(len(self._accepted)),
+                )
+                for near in receivers
             }
-            max_interval_s = max_update_interval_s(len(self._accepted))
+            self._capacity_changed = trio.Event()
+            wake_s = now_s() + max_update_interval_s(len(self._accepted))
             for local in self._local.values():
                 report = local.capacity_report()
                 for near, channels in receivers.items():
-                    if channels and filters[near].should_send(
-                        report, min_interval_s[near], max_interval_s
-                    ):
-                        body = encode(report)
-                        for channel in channels:
-                            channel.ping_every(max(PING_INTERVAL_S, max_interval_s))
-                            channel.send_encoded(body)
+                    if not channels:
+                        continue
+                    if filters[near].should_send(report, *intervals_s[near]):
+                        self._broadcast(report, channels)
+                    wake_s = min(
+                        wake_s, filters[near].due_s(report, *intervals_s[near])
+                    )
+            await trio.sleep(min_update_interval_s(len(receivers[True])))
+            if not self._capacity_changed.is_set():
+                with trio.move_on_at(wake_s):
+                    await self._capacity_changed.wait()
+                    # Tasks that were just queued are placed first.
+                    await trio.lowlevel.checkpoint()
+
+    def _broadcast(self, report: CapacityReport, channels: Iterable[Channel]) -> None:
+        """Send a report to hosts; it takes the place of their pings."""
+        ping_s = max(PING_INTERVAL_S, max_update_interval_s(len(self._accepted)))
+        body = encode(report)
+        for channel in channels:
+            channel.ping_every(ping_s)
+            channel.send_encoded(body)
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -12,7 +12,7 @@
 import dataclasses
 import heapq
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from .answers import Refusal
 from .backlog import Backlog
@@ -94,9 +94,15 @@
         The policies that decide.
     presets : PresetSource or None
         Source of the preset in force; None for `presets.ORDINARY`.
+
+    Attributes
+    ----------
+    on_capacity_change : callable
+        Called when the free capacity may have changed.
     """
 
     def __init__(self, policies: Policies, presets: PresetSource | None = None) -> None:
+        self.on_capacity_change: Callable[[], None] = lambda: None
         self._policies = policies
         self._presets = presets or FixedPreset()
         self._decisions = DecisionLog()
@@ -128,6 +134,10 @@
             self._free_capacity = self._count_free_capacity()
         return self._free_capacity
 
+    def _capacity_changed(self) -> None:
+        self._free_capacity = None
+        self.on_capacity_change()
+
     def _count_free_capacity(self) -> FreeCapacity:
         loads = [load for load in self._endpoints.values() if load.usable()]
         spec = self._newest_spec
@@ -163,7 +173,7 @@
         """
         if not attempts:
             return
-        self._free_capacity = None
+        self._capacity_changed()
         self._newest_spec = request.tasks[0]
         queued_job = QueuedJob(
             request.job,
@@ -193,7 +203,7 @@
         self, ref: AttemptRef, endpoint: EndpointId, task: WaitingTask
     ) -> None:
         """Count an attempt that already runs at an endpoint."""
-        self._free_capacity = None
+        self._capacity_changed()
         task.started_s = max(task.started_s, task.queued_at_s)
         self._placed[ref] = (endpoint, task)
         if endpoint in self._endpoints:
@@ -204,10 +214,10 @@
         load = self._endpoints.get(announcement.endpoint)
         if load is not None:
             if _capacity_of(load.announcement) != _capacity_of(announcement):
-                self._free_capacity = None
+                self._capacity_changed()
             load.announcement = announcement
             return
-        self._free_capacity = None
+        self._capacity_changed()
         load = self._endpoints[announcement.endpoint] = EndpointLoad(announcement)
         load.speed = self._policies.estimates.speed(load.id)
         for ref, (endpoint, task) in self._placed.items():
@@ -220,11 +230,11 @@
         load = self._endpoints.get(endpoint)
         if load is not None and load.reachable != reachable:
             load.reachable = reachable
-            self._free_capacity = None
+            self._capacity_changed()
 
     def remove_endpoint(self, endpoint: EndpointId) -> None:
         """Remove an endpoint; its attempts stay placed until they end."""
-        self._free_capacity = None
+        self._capacity_changed()
         self._endpoints.pop(endpoint, None)
         self._policies.ejection.forget(endpoint)
 
@@ -233,7 +243,7 @@
         self._release_after_backoff(now_s)
         if not self._backlog.tasks:
             return []
-        self._free_capacity = None
+        self._capacity_changed()
         preset = self._presets.preset()
         ordered = sorted(self._endpoints.values(), key=_negative_speed)
         self._update_limits(ordered, now_s)
@@ -258,7 +268,7 @@
         endpoint, task = self._placed.pop(ref, (None, None))
         if endpoint is None or task is None:
             return
-        self._free_capacity = None
+        self._capacity_changed()
         if code is ResultCode.COMPLETE:
             self._pop_observed_run_s(ref.job, ref.task)
         load = self._endpoints.get(endpoint)
@@ -351,7 +361,7 @@
 
     def remove(self, job: JobId) -> None:
         """Remove all waiting tasks of a job from the queue."""
-        self._free_capacity = None
+        self._capacity_changed()
         self._observed_run_s.pop(job, None)
         for task in self._waiting.pop(job, {}).values():
             self._policies.ordering.discard(task)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -93,11 +93,12 @@
         self.log = ControlledLog(*records)
         self.links = {}
         self.drained_endpoints = set()
+        self.scheduler = Scheduler(policies or baseline_policies(LeastLoaded()))
         self.dispatcher = Dispatcher(
             DATA_CENTRE,
             Epoch(2),
             self.log,
-            Scheduler(policies or baseline_policies(LeastLoaded())),
+            self.scheduler,
             SystemCalendar(),
             DispatcherLimits(endpoint_lease_s=8.0, **limits),
             make_link=self.make_link,
@@ -448,3 +449,21 @@
     reply = await bench.dispatcher.wait(a_job_id(job), 5.0)
     assert [task.state for task in reply.tasks] == [TaskState.NOT_RUN]
     assert trio.current_time() - submitted_s < 0.7
+
+
+async def test_heartbeats_at_rest_cause_no_plan(nursery, clock, monkeypatch):
+    # Each poll of each endpoint at rest woke the dispatch loop.
+    bench = Bench()
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    await settle()
+    plans = []
+    monkeypatch.setattr(
+        bench.scheduler, "plan", lambda now_s: plans.append(now_s) or []
+    )
+    for beat in range(1, 20):
+        heartbeat = Heartbeat(beat, E1.incarnation, 0, None)
+        bench.dispatcher.heartbeat_received(E1.endpoint, heartbeat)
+        bench.dispatcher.endpoint_reachability_changed(E1.endpoint, True)
+        await settle()
+    assert not plans
