Log the run time of a late attempt by its worker's clock

attempt_moved and job_abandoned tell the run time counted from when the start was sent. Whether a job was abandoned since its start arrived late could not be seen. No decision uses it yet.

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -438,6 +438,7 @@
                 endpoint=endpoint,
                 ground=decision.value,
                 run_s=round(report.run_s, 3),
+                worker_run_s=report.worker_run_s,
                 left_s=round(report.left_s, 3),
                 speed=round(self._scheduler.endpoint_speed(endpoint), 2),
                 if_long_s=round(estimate.if_long_s, 3),
