Take the run time of a late attempt from the worker's clock

A job whose start or whose progress was delayed between the hosts seemed to end later than it did, and could be moved or abandoned although it would have been in time: the run time was counted from when the start was sent, so that at 3% progress each millisecond of delay counted as 30. The link now notes the worker's clock in the reply to a start and divides the progress by the time since then on that clock; if the reply is lost, the first list that names the run takes its place. The time that the list was under way, by the best offset of the clocks seen, is taken off.

test_a_job_whose_start_arrived_late_is_not_abandoned and test_a_job_whose_progress_was_reported_late_is_not_abandoned failed before: with 120 ms of delay a run of 2 s seemed to end more than 0.4 s after its true end.

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -438,7 +438,7 @@
                 endpoint=endpoint,
                 ground=decision.value,
                 run_s=round(report.run_s, 3),
-                worker_run_s=report.worker_run_s,
+                since_sent_s=round(report.since_sent_s, 3),
                 left_s=round(report.left_s, 3),
                 speed=round(self._scheduler.endpoint_speed(endpoint), 2),
                 if_long_s=round(estimate.if_long_s, 3),
--- a/currantwell/progress.py
+++ b/currantwell/progress.py
@@ -32,14 +32,14 @@
         Estimated time for which it will still run at its endpoint, in seconds.
     min_left_s : float
         Lower bound of `left_s`, with all rounding in favour of the attempt.
-    worker_run_s : float or None
-        Time for which it has run by its endpoint's clock, None if that is not known.
+    since_sent_s : float
+        Time since its start was sent, in seconds; for logs only.
     """
 
     run_s: float
     left_s: float
     min_left_s: float
-    worker_run_s: float | None = None
+    since_sent_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/cooperative/test_worker_link.py
+++ b/tests/cooperative/test_worker_link.py
@@ -1,5 +1,6 @@
 """The link to a worker, against a simulated worker over HTTP."""
 
+import math
 from contextlib import asynccontextmanager
 
 import pytest
@@ -9,6 +10,7 @@
 from currantwell.codes import ResultCode
 from currantwell.endpoint_protocol import AttemptRef, LeaseGrant, Start
 from currantwell.ids import EndpointId, Epoch, Incarnation, JobId
+from currantwell.progress import AttemptDecision, RestartEstimate, decide_attempt
 from tests.cooperative.worker import Worker, serving
 
 LEASE_S = 0.6
@@ -22,6 +24,7 @@
         self.refused = []
         self.results = []
         self.left_s = {}
+        self.progress = []
         self.reachable = None
         self.adopted = None
         self.deposed = False
@@ -40,6 +43,8 @@
 
     def progress_received(self, endpoint, progress):
         self.left_s.update({ref: each.left_s for ref, each in progress.items()})
+        received_s = trio.current_time()
+        self.progress.extend((received_s, each) for each in progress.values())
 
     def endpoint_reachability_changed(self, endpoint, reachable):
         self.reachable = reachable
@@ -107,6 +112,65 @@
     assert 1.0 < left_s < 3.0
 
 
+class SlowNetwork(Worker):
+    """Receives starts late, or sends the lists of runs late except the first ones."""
+
+    def __init__(self, start_delay_s=0.0, lists_delay_s=0.0):
+        super().__init__()
+        self.task_s = 2.0
+        self.start_delay_s = start_delay_s
+        self.lists_delay_s = lists_delay_s
+
+    async def carry_out(self, path, order):
+        if path == "/-/run-start":
+            await trio.sleep(self.start_delay_s)
+        return await super().carry_out(path, order)
+
+    async def answer(self, send, status, reply):
+        reply = {"clock_ms": self.clock_ms(), **reply}
+        if reply.get("running"):
+            await trio.sleep(self.lists_delay_s)
+        await super().answer(send, status, reply)
+
+
+async def ends_late_by_first_progress(worker, margin_s):
+    """Return whether a run seems to end later than it does by more than a margin."""
+    async with linked(worker) as (link, handler):
+        await until(lambda: handler.reachable)
+        link.send([a_start()])
+        await until(lambda: handler.progress)
+        (run,) = worker.runs.values()
+        received_s, progress = handler.progress[0]
+        left_s = run.ends_s + margin_s - received_s
+    decision = decide_attempt(2, progress, RestartEstimate(math.inf, math.inf), left_s)
+    return decision is not AttemptDecision.CONTINUE
+
+
+# Progress is rounded to percents; of the first 3 percent half of one is a seventh.
+ROUNDING_MARGIN_S = 0.4
+
+
+async def test_a_job_whose_start_arrived_late_is_not_abandoned():
+    worker = SlowNetwork(start_delay_s=0.12)
+    assert not await ends_late_by_first_progress(worker, ROUNDING_MARGIN_S)
+
+
+async def test_a_job_whose_progress_was_reported_late_is_not_abandoned():
+    worker = SlowNetwork(lists_delay_s=0.12)
+    assert not await ends_late_by_first_progress(worker, ROUNDING_MARGIN_S)
+
+
+async def test_a_job_that_ends_too_late_is_abandoned_at_its_first_progress():
+    worker = SlowNetwork(start_delay_s=0.12, lists_delay_s=0.12)
+    assert await ends_late_by_first_progress(worker, -2 * ROUNDING_MARGIN_S)
+
+
+async def test_progress_is_estimated_although_the_reply_to_the_start_was_lost():
+    worker = SlowNetwork()
+    worker.lose_answers_of = {"/-/run-start"}
+    assert not await ends_late_by_first_progress(worker, ROUNDING_MARGIN_S)
+
+
 async def test_a_start_whose_reply_was_lost_is_not_repeated():
     worker = Worker()
     worker.task_s = 0.5
