Wait for the fastest endpoint where no endpoint is safe

Of the largest jobs those were served least that need more than any endpoint's speed by the margin of 1.5, though the fastest endpoints would end them in time: for them the wait for an endpoint that is fast enough was left out, since none is, and they started on whatever was free.

A task that the fastest endpoints end in time if its estimate is right now waits for one of these, for the same bounded time.

test_a_task_that_only_the_fastest_may_end_in_time_does_not_start_on_a_slow_one failed before.

--- a/currantwell/placement.py
+++ b/currantwell/placement.py
@@ -13,7 +13,7 @@
 import math
 from collections.abc import Sequence
 
-from .deadline_speed import speed_for_deadline
+from .deadline_speed import attainable_speed_for_deadline
 from .endpoint_load import EndpointLoad
 from .policies import Choice, Reason
 from .presets import Preset
@@ -56,6 +56,7 @@
         self._waiting_for_faster = 0
         self._max_wait_s = 0.0
         self._endpoints: Sequence[EndpointLoad] = ()
+        self._fastest_speed = 0.0
 
     def prepare(
         self, endpoints: Sequence[EndpointLoad], preset: Preset, now_s: float
@@ -71,6 +72,9 @@
         self._waiting_for_faster = 0
         self._max_wait_s = preset.wait_faster_s
         self._endpoints = usable
+        self._fastest_speed = max(
+            (load.speed for load in usable if load.usable()), default=0.0
+        )
 
     def choose(
         self, task: WaitingTask, candidates: Sequence[EndpointLoad], now_s: float
@@ -90,7 +94,7 @@
     def _choose(
         self, task: WaitingTask, candidates: Sequence[EndpointLoad], now_s: float
     ) -> Choice:
-        deadline_speed = _deadline_speed(task, now_s)
+        deadline_speed = _deadline_speed(task, self._fastest_speed, now_s)
         if self._use_slack:
             job_end_speed = self._speed_by_job_end(task, now_s)
             slowest = _slowest(candidates, max(job_end_speed, deadline_speed))
@@ -125,7 +129,7 @@
         self, task: WaitingTask, speed: float, now_s: float
     ) -> bool:
         """Return whether a task waits for a busy endpoint that has a given speed."""
-        if not self._wait_faster or self._endpoints[0].speed < speed:
+        if not self._wait_faster or self._fastest_speed < speed:
             return False
         if task.waits_for_faster_since_s is None:
             task.waits_for_faster_since_s = now_s
@@ -168,15 +172,17 @@
         self._mean_run_s += deviation_s / MEAN_RUN_WINDOW_TASKS
 
 
-def _deadline_speed(task: WaitingTask, now_s: float) -> float:
-    """Return the speed that makes a task safe from its deadline.
+def _deadline_speed(task: WaitingTask, fastest: float, now_s: float) -> float:
+    """Return the speed that makes a task as safe from its deadline as it can be.
 
     It is 0 for a task whose caller does not wait for the answer.
     """
     queued_job = task.queued_job
     if queued_job is None or math.isinf(queued_job.target_completion_s):
         return 0.0
-    return speed_for_deadline(task.estimate_s, task.deadline_s, now_s)
+    return attainable_speed_for_deadline(
+        task.estimate_s, task.deadline_s, now_s, fastest
+    )
 
 
 def _slowest(candidates: Sequence[EndpointLoad], speed: float) -> EndpointLoad | None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -72,6 +72,17 @@
     assert choose(loads, task, loads[1:], preset, now_s=0.3).endpoint is loads[1]
 
 
+@pytest.mark.parametrize("estimate_s", [2.0, 2.6])
+def test_a_task_that_only_the_fastest_may_end_in_time_does_not_start_on_a_slow_one(
+    loads, estimate_s
+):
+    preset = msgspec.structs.replace(ORDINARY, wait_faster_s=0.0)
+    task = waited_for(waiting_task(estimate_s=estimate_s), deadline_s=1.4)
+    assert choose(loads, task, loads[1:], preset).reason is Reason.WAIT_FOR_DEADLINE
+    assert choose(loads, task, loads, preset).endpoint is loads[0]
+    assert choose(loads, task, loads[1:], preset, now_s=0.3).endpoint is loads[1]
+
+
 def test_a_task_with_slack_in_its_job_avoids_endpoints_too_slow_for_the_deadline(loads):
     task = waited_for(waiting_task(estimate_s=0.8), deadline_s=1.4)
     task.queued_job.expected_end_s = 9.0
