Start a moved task on a fast endpoint only

A task that was moved since its endpoint was too slow could be started on a slow endpoint again. Moves are decided with little time to spare: after a wait of 0.1 to 0.3 s for a fast endpoint none ends the task in time by its estimate, and then every free endpoint counted as good enough.

Where no endpoint is fast enough by the estimate, those near the highest speed are, also for the first attempt of a task, whose bound on the speed had the same step.

test_a_moved_task_that_waited_too_long_is_not_started_on_a_slow_endpoint failed before.

--- a/currantwell/deadline_speed.py
+++ b/currantwell/deadline_speed.py
@@ -5,14 +5,19 @@
 
 import math
 
-__all__ = ["USUAL_SPEED", "attainable_speed_for_deadline", "speed_for_deadline"]
+__all__ = [
+    "SIMILAR_SPEED_SHARE",
+    "USUAL_SPEED",
+    "attainable_speed_for_deadline",
+    "speed_for_deadline",
+]
 
 USUAL_SPEED = 1.0
 # Allows for run times that exceed their estimates.
 RUN_TIME_MARGIN_FACTOR = 1.5
 # Endpoints above this share of the highest speed count as equally fast, since estimated
 # speeds vary.
-SIMILAR_SPEED_SHARE = 0.7
+SIMILAR_SPEED_SHARE = 0.8
 # A start and the report of its end, on a busy host.
 CALLS_S = 0.02
 
@@ -43,8 +48,8 @@
 ) -> float:
     """Return the lowest speed worth waiting for, given the speed of the fastest.
 
-    A task that no endpoint is likely to end in time, but that the fastest ones end in
-    time if its estimate is right, needs one of these.
+    A task that even the fastest endpoints are not sure to end in time, but that they
+    end in time if its estimate is right, needs one of these.
 
     Parameters
     ----------
@@ -54,7 +59,6 @@
         Speed of the fastest endpoint.
     """
     speed = speed_for_deadline(estimate_s, deadline_s, now_s)
-    without_margin = speed / RUN_TIME_MARGIN_FACTOR
-    if speed <= fastest or without_margin > fastest:
+    if speed / RUN_TIME_MARGIN_FACTOR > fastest:
         return speed
-    return max(without_margin, SIMILAR_SPEED_SHARE * fastest)
+    return min(speed, SIMILAR_SPEED_SHARE * fastest)
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -17,6 +17,7 @@
 from .answers import Refusal
 from .backlog import Backlog
 from .codes import ResultCode
+from .deadline_speed import SIMILAR_SPEED_SHARE
 from .decisions import DecisionLog, PlacementDecision
 from .endpoint_load import EndpointLoad
 from .endpoint_protocol import Announcement, AttemptRef
@@ -526,19 +527,20 @@
     endpoints: Sequence[EndpointLoad],
     now_s: float,
 ) -> list[EndpointLoad]:
-    """Return the free endpoints that end a moved task before its deadline.
+    """Return the free endpoints that may end a moved task before its deadline.
 
     The list is empty, so that the task waits, while only a busy endpoint is fast
-    enough. All free endpoints are returned if no usable endpoint is fast enough, and
-    for every task that was not moved.
+    enough. If none is, the fastest ones are: a task was moved since slower ones would
+    not end it in time. All free endpoints are returned for a task that was not moved.
     """
     if not task.moved:
         return fitting
-    needed = task.estimate_s / max(1e-9, task.deadline_s - now_s)
-    fast = [load for load in fitting if load.speed >= needed]
-    if fast or any(load.usable() and load.speed >= needed for load in endpoints):
-        return fast
-    return fitting
+    fastest = max((load.speed for load in endpoints if load.usable()), default=0.0)
+    needed = min(
+        task.estimate_s / max(1e-9, task.deadline_s - now_s),
+        SIMILAR_SPEED_SHARE * fastest,
+    )
+    return [load for load in fitting if load.speed >= needed]
 
 
 def _capacity_of(announcement: Announcement) -> tuple[float, ...]:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -208,6 +208,22 @@
     assert [item.endpoint for item in scheduler.plan(11.0)] == ["fast"]
 
 
+def test_a_moved_task_that_waited_too_long_is_not_started_on_a_slow_endpoint():
+    scheduler = Scheduler(by_speed(slow=0.5, fast=2.0))
+    announce(scheduler, "slow", slots=1)
+    add(scheduler, run_time_s=0.4)
+    (first,) = scheduler.plan(0.0)
+    announce(scheduler, "fast", slots=1)
+    add(scheduler, "other", run_time_s=0.4)
+    (other,) = scheduler.plan(0.0)
+    scheduler.record_observed_run_time(first.ref, AttemptProgress(10.0, 1e3, 1e3))
+    scheduler.attempt_ended(first.ref, ResultCode.TASK_STOPPED, 10.0, 10.0)
+    add(scheduler, attempt=2, now_s=10.0, run_time_s=0.4)
+    assert scheduler.plan(11.0) == []
+    scheduler.attempt_ended(other.ref, ResultCode.COMPLETE, 0.2, 11.0)
+    assert [item.endpoint for item in scheduler.plan(11.0)] == ["fast"]
+
+
 def test_a_moved_task_does_not_wait_if_no_endpoint_ends_it_in_time():
     scheduler = Scheduler(by_speed(slow=0.5))
     announce(scheduler, "slow", slots=1)
