--- a/tests/interactive_load.py
+++ b/tests/interactive_load.py
@@ -111,6 +111,8 @@
         self._now_s = 0.0
         self._length_s = length_s
         self.jobs: dict[str, SimulatedJob] = {}
+        # Run time factors of the endpoints at which moved tasks were started again.
+        self.moved_to_factors: list[float] = []
         for index in range(ENDPOINTS):
             name = f"e{index}"
             self._factors[name] = RUN_TIME_FACTORS[index % len(RUN_TIME_FACTORS)]
@@ -172,6 +174,8 @@
         for placed in self._scheduler.plan(self._now_s):
             job = self.jobs[placed.ref.job]
             factor = self._factors[placed.endpoint]
+            if placed.task.moved:
+                self.moved_to_factors.append(factor)
             run_s = job.run_times_s[placed.ref.task] * factor
             begins_s = self._now_s + CALL_S
             attempt = Attempt(job, placed.endpoint, self._now_s, begins_s + run_s)
--- a/tests/test_interactive_load.py
+++ b/tests/test_interactive_load.py
@@ -4,6 +4,7 @@
 
 from tests.interactive_load import (
     KINDS,
+    RUN_TIME_FACTORS,
     InteractiveLoad,
     jobs_by_work,
     served_share,
@@ -13,6 +14,8 @@
 LENGTH_S = 60.0
 # At this factor the load is 0.8 of the capacity.
 LOAD_FACTOR = 1.5
+OVERLOAD_FACTOR = 2.2
+OVERLOAD_LENGTH_S = 20.0
 
 
 @pytest.fixture(scope="module")
@@ -32,3 +35,10 @@
     least = 0.5 * served_share(ordered)
     assert served_share(ordered[:tenth]) >= least
     assert served_share(ordered[tenth : tenth + fifth]) >= least
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_moved_task_starts_on_a_slow_endpoint_under_overload(seed):
+    load = InteractiveLoad(seed, OVERLOAD_LENGTH_S, OVERLOAD_FACTOR)
+    load.play()
+    assert set(load.moved_to_factors) == {min(RUN_TIME_FACTORS)}
