Wait in a test until control hosts listen before the first read

test_a_configuration_applies_everywhere_and_survives_a_kill_of_all asked each control host once after all processes had been killed and started again, and took a refused connection for a lost configuration.

Cause: the test waited for the entry hosts only. The check is as strict as before: once a control host listens, its first reply must be the configuration, not a 503 and not an older one.

--- a/tests/cooperative/deployment.py
+++ b/tests/cooperative/deployment.py
@@ -214,6 +214,19 @@
                 while not await self.ready(machine):
                     await trio.sleep(0.05)
 
+    async def until_listening(self, *machines):
+        """Wait until control hosts accept connections of operators."""
+        with trio.fail_after(PATIENCE_S):
+            for machine in machines:
+                while True:
+                    try:
+                        stream = await trio.open_tcp_stream(machine.ip, CONTROL_PORT)
+                    except OSError:
+                        await trio.sleep(0.05)
+                    else:
+                        await stream.aclose()
+                        break
+
     async def submit(self, machine, tasks=2, identifier=None, prefix="/p/"):
         """Submit a best-effort job; return its id and the reply as `call` does."""
         self.jobs += 1
--- a/tests/cooperative/test_programs.py
+++ b/tests/cooperative/test_programs.py
@@ -66,6 +66,7 @@
             deployment.start(machine, first=False)
         await deployment.until_ready()
         await until_served(deployment, deployment.entries[0], "/q/")
+        await deployment.until_listening(*deployment.controls)
         for machine in deployment.controls:
             assert await deployment.read(machine) == (200, sent)
 
