Give out no test port twice in a run

A scenario's endpoint did not start: its port was in use.

Cause: free_port tests that a port can be bound and lets go of it; until the process that it is meant for binds it, the same port can be drawn again. With about ten ports a scenario the odds are small, and many scenarios make one run.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -16,23 +16,29 @@
 FIRST_PORT = 10_000
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
+# Ports that this test run has given out; their processes may not have bound them yet.
+_given_ports: set[int] = set()
 
 
 def free_port() -> int:
     """Return a free port below the range of outgoing connections.
 
-    No outgoing connection can take the port while its host is down.
+    No outgoing connection can take the port while its host is down. No port is
+    returned twice in a test run.
     """
     range_path = Path("/proc/sys/net/ipv4/ip_local_port_range")
     first_outgoing = int(range_path.read_text().split()[0])
     while True:
         port = random.SystemRandom().randrange(FIRST_PORT, first_outgoing)
+        if port in _given_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-            return port
+        _given_ports.add(port)
+        return port
 
 
 @dataclasses.dataclass
