Log all events of a host outside the platform, with their time

After the failure of a host nobody could tell from its log when it stopped, or whether a signal had ended it: `host run` wrote warnings only, as WARNING:absl:{...}, without time. docs/EVENTS.md promised time and all levels.

Cause: only the programs of the platform set up the log. `host run` does now, with the same sink: JSON lines, bounded in rate, never blocking.

The new test fails on the code before: the log of a host that got SIGTERM was empty of host_started, signal_received, host_draining and host_stopped.

--- a/currantwell/cli/host.py
+++ b/currantwell/cli/host.py
@@ -11,6 +11,7 @@
 from ..exit_codes import ExitCode
 from ..host import run_host
 from ..ids import HostId
+from ..log_sink import configure_logging
 from ..operator_client import OperatorClient
 from ..process import held_signals
 from ..settings import load_settings
@@ -36,6 +37,7 @@
 def run(path: Path) -> None:
     """Run an entry host until SIGTERM or SIGINT."""
     with held_signals():
+        configure_logging(sys.stderr.fileno())
         sys.exit(int(_run(path)))
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,11 +1,20 @@
 import json
+import signal
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
 
 from currantwell.codes import ResultCode
 from currantwell.exit_codes import ExitCode, exit_code
-from tests.processes import command, one_host, wait_until
+from tests.processes import (
+    STOP_TIMEOUT_S,
+    command,
+    one_host,
+    wait_until,
+    write_settings,
+)
 
 EXAMPLE = str(Path(__file__).parent.parent / "examples" / "check_in.json")
 DEAD = "http://127.0.0.1:9"
@@ -110,3 +119,26 @@
         assert done.returncode in (ExitCode.FAILED, ExitCode.USAGE)
         assert reason in done.stderr.decode()
         assert b"Traceback" not in done.stderr
+
+
+def test_the_log_of_a_host_tells_when_and_why_it_stopped(tmp_path):
+    settings = write_settings(
+        tmp_path,
+        id="host-1",
+        data_centre="aspen-parkland",
+        data_folder=tmp_path / "data",
+    )
+    arguments = ("host", "run", "--settings", str(settings))
+    with subprocess.Popen(
+        [sys.executable, "-m", "currantwell", *arguments],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    ) as host:
+        assert host.stdout.readline()
+        host.send_signal(signal.SIGTERM)
+        _, log = host.communicate(timeout=STOP_TIMEOUT_S)
+    lines = [json.loads(line) for line in log.splitlines()]
+    assert all(line["unix_s"] > 0 and line["level"] for line in lines)
+    names = [line["name"] for line in lines]
+    expected = ["host_started", "signal_received", "host_draining", "host_stopped"]
+    assert [name for name in names if name in expected] == expected
