Refuse a job at the moment when it can no longer start in time

Cause: the dispatcher looked for expired jobs at its ticks only, each 0.1 s, and the router paused for 25 ms before it saw that the time to start was over. The dispatcher now sleeps until the next limit of a job that still waits; jobs that have started, or were answered, leave no limit behind, so that nothing wakes it while no task waits.

The new tests failed before (dispatcher: three start limits and a deadline between two ticks; router: answered 25 ms after the limit).

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -57,6 +57,8 @@
 __all__ = ["Dispatcher", "DispatcherLimits"]
 
 TICK_S = 0.1
+# Jobs that expire within this time are cancelled together.
+MIN_EXPIRY_INTERVAL_S = 0.01
 PAUSE_POLL_S = 0.02
 FORGET_INTERVAL_S = 10.0
 
@@ -699,15 +701,23 @@
     async def _tick_loop(self) -> None:
         """Act on expired leases, answers and deadlines, and on stragglers."""
         while True:
-            await trio.sleep(TICK_S)
-            now = now_s()
+            await self._expire_jobs_until(now_s() + TICK_S)
             for endpoint, incarnation in self._roster.tick():
                 await self._end_expired_attempts(endpoint, incarnation)
             self._forget_expired_jobs()
+            self._stop_stragglers(now_s())
+            self._plan_if_tasks_wait()
+
+    async def _expire_jobs_until(self, end_s: float) -> None:
+        """Cancel each job that expires before a time as soon as it does."""
+        while True:
+            now = now_s()
             for job in self._scheduler.pop_expired_jobs(now):
                 await self._cancel_job(job, ResultCode.DEADLINE_PASSED)
-            self._stop_stragglers(now)
-            self._plan_if_tasks_wait()
+            if now >= end_s:
+                return
+            next_s = max(self._scheduler.next_expiry_s(), now + MIN_EXPIRY_INTERVAL_S)
+            await trio.sleep_until(min(next_s, end_s))
 
     def _stop_stragglers(self, now: float) -> None:
         """Stop straggling attempts; their tasks start again once they have ended."""
--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -306,14 +306,15 @@
                 wait_s = max(reply.retry_after_s, RETRY_AFTER_S)
                 if not isinstance(outcome, JobIncomplete):
                     outcome = JobNotRun(f"{reply.code.name}: {reply.detail}", wait_s)
+                pause_s = REFUSED_PAUSE_S
                 if reply.code is ResultCode.NOT_RUN_IMPOSSIBLE:
+                    pause_s = 0.0
                     unable.add(part.group)
                     if unable.issuperset(self._links.capacity_reports()):
                         break
-                else:
-                    await trio.sleep(REFUSED_PAUSE_S)
-                if now_s() >= self._order.start_by_s:
+                if now_s() + pause_s >= self._order.start_by_s:
                     break
+                await trio.sleep(pause_s)
             part = self._reroute(part, unable)
         self._end(outcome, scope)
 
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -305,6 +305,23 @@
                 jobs.append(job)
         return jobs
 
+    def next_expiry_s(self) -> float:
+        """Return when the next job expires if it still waits then, infinite if none.
+
+        The limits of jobs that no longer wait are removed; a job that waits again later
+        is added with its limits.
+        """
+        while self._start_limits and not self._was_never_placed(
+            self._start_limits[0][1]
+        ):
+            heapq.heappop(self._start_limits)
+        while self._deadlines and self._deadlines[0][1] not in self._waiting:
+            heapq.heappop(self._deadlines)
+        limits = [
+            queue[0][0] for queue in (self._start_limits, self._deadlines) if queue
+        ]
+        return min(limits, default=math.inf)
+
     def _was_never_placed(self, job: JobId) -> bool:
         """Return whether a job waits and none of its tasks was ever placed."""
         waiting = self._waiting.get(job, {}).values()
--- a/tests/fleet/test_job_router.py
+++ b/tests/fleet/test_job_router.py
@@ -104,6 +104,17 @@
     assert outcome.retry_after_s > 0
 
 
+async def test_a_job_that_can_no_longer_start_in_time_is_answered_without_a_pause(
+    autojump_clock,
+):
+    links = Links(valdres=4)
+    links.codes = [ResultCode.NOT_RUN_DEADLINE]
+    links.run_s = 0.6
+    started_s = trio.current_time()
+    assert isinstance(await run(links, start_by_s=0.6), JobNotRun)
+    assert trio.current_time() == started_s + 0.6
+
+
 async def test_a_job_with_a_refused_and_a_started_part_is_incomplete(autojump_clock):
     links = Links(valdres=2, hallingdal=2)
     links.codes = [ResultCode.NOT_RUN_OVERLOADED, ResultCode.COMPLETE] + [
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -10,7 +10,11 @@
 from currantwell.baselines import LeastLoaded, baseline_policies
 from currantwell.clock import SystemCalendar
 from currantwell.codes import ResultCode
-from currantwell.dispatcher import Dispatcher, DispatcherLimits
+from currantwell.dispatcher import (
+    MIN_EXPIRY_INTERVAL_S,
+    Dispatcher,
+    DispatcherLimits,
+)
 from currantwell.endpoint_protocol import AdoptReply, AttemptRef, Heartbeat, ResultLine
 from currantwell.errors import Deposed, StorageFailed
 from currantwell.ids import Epoch, Incarnation
@@ -451,6 +455,30 @@
     assert trio.current_time() - submitted_s < 0.7
 
 
+@pytest.mark.parametrize("start_within_s", [0.32, 0.45, 0.58])
+async def test_a_job_that_can_no_longer_start_in_time_does_not_wait_for_a_tick(
+    nursery, clock, start_within_s
+):
+    bench = Bench()
+    job = a_submission(deadline_s=9.0, start_within_s=start_within_s)
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(msgspec.structs.replace(E1, draining=True))
+    await bench.dispatcher.submit(job)
+    limit_s = trio.current_time() + start_within_s
+    await bench.dispatcher.wait(a_job_id(job), 5.0)
+    assert limit_s <= trio.current_time() <= limit_s + MIN_EXPIRY_INTERVAL_S
+
+
+async def test_a_job_whose_last_task_waits_in_vain_ends_at_its_deadline(nursery, clock):
+    bench, job = Bench(), a_submission(deadline_s=2.57)
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(msgspec.structs.replace(E1, draining=True))
+    await bench.dispatcher.submit(job)
+    deadline_s = trio.current_time() + job.deadline_s
+    await bench.dispatcher.wait(a_job_id(job), 5.0)
+    assert deadline_s <= trio.current_time() <= deadline_s + MIN_EXPIRY_INTERVAL_S
+
+
 async def test_heartbeats_at_rest_cause_no_plan(nursery, clock, monkeypatch):
     # Each poll of each endpoint at rest woke the dispatch loop.
     bench = Bench()
