Let a member that was replaced as a voter join again

A member that has heard no leader for 2 s now asks the other hosts, and asks to join if one says that it is none. It keeps its id, since it has its log and its votes still. It asks for nothing while its disk takes no writes, since it would count as a member on its way. Without target_voters nobody is replaced, and a removal is for good as before.

--- a/currantwell/consensus_voting.py
+++ b/currantwell/consensus_voting.py
@@ -156,7 +156,8 @@
         if leader_state is not None and not leader_state.has_active_quorum(self._now_s):
             self._become_follower(self.term, None)
 
-    def _has_active_leader(self) -> bool:
+    def has_active_leader(self) -> bool:
+        """Return whether this member leads, or has heard from a leader of late."""
         if self._leader_state is not None:
             return True
         silence_s = self._now_s - self._last_leader_message_s
@@ -191,7 +192,7 @@
 
     def _handle_vote_request(self, sender: MemberId, request: VoteRequest) -> None:
         granted = False
-        if not self._has_active_leader():
+        if not self.has_active_leader():
             if not request.pre_vote and request.term > self.term:
                 self._become_follower(request.term, None)
             granted = self._may_grant_vote(sender, request)
--- a/currantwell/raft_agreement.py
+++ b/currantwell/raft_agreement.py
@@ -146,7 +146,13 @@
         self._wake_event = trio.Event()
         self._transport = RaftTransport(peers, self._receive)
         self._bootstrap = ClusterBootstrap(
-            host, members, peers, self._core, self._wake, target_voters
+            host,
+            members,
+            peers,
+            self._core,
+            self._wake,
+            target_voters,
+            can_store=lambda: not self._write_failing,
         )
         self._proposal_count = 0
         self._proposals: dict[int, _Waiter] = {}
--- a/currantwell/raft_bootstrap.py
+++ b/currantwell/raft_bootstrap.py
@@ -1,4 +1,7 @@
-"""Bootstrap of a host without agreed state: it forms a cluster or joins one.
+"""Membership of a host: it forms a cluster, joins one, and joins again if replaced.
+
+A voter that is unresponsive for some time, for example since its disk is full, is
+replaced and hears no more from the leader. Only the other hosts can tell it so.
 
 Invariants: only the first of the initial hosts forms a cluster, and only if all of them
 reply and none belongs to a cluster yet. A host that has lost its disk therefore finds a
@@ -11,6 +14,7 @@
 import trio
 
 from . import events
+from .clock import now_s
 from .consensus import Consensus
 from .consensus_messages import ClusterId, Membership, host_of
 from .errors import PeerUnreachable
@@ -21,6 +25,8 @@
 __all__ = ["ClusterBootstrap"]
 
 RETRY_INTERVAL_S = 0.25
+# Longer than it takes to elect a leader.
+REJOIN_AFTER_S = 2.0
 CLUSTER_ID_BYTES = 8
 
 
@@ -41,6 +47,9 @@
         Schedules the processing of the core's next output.
     target_voters : int
         While fewer members vote, a host that joins later also requests a vote.
+    can_store : callable
+        Returns whether this host's disk takes writes. A host that can't store anything
+        asks for nothing, since it would count as a member that is on its way.
     """
 
     def __init__(
@@ -51,8 +60,10 @@
         core: Consensus,
         wake: Callable[[], None],
         target_voters: int = 0,
+        can_store: Callable[[], bool] = lambda: True,
     ) -> None:
         self._host = host
+        self._can_store = can_store
         self._initial_hosts = tuple(initial_hosts)
         self._peers = peers
         self._core = core
@@ -60,15 +71,45 @@
         self._target_voters = target_voters
 
     async def run(self) -> None:
-        """Form or join a cluster; return once the host is a member."""
+        """Form or join a cluster, and join again when replaced, until cancelled.
+
+        Without ``target_voters`` no member is replaced; return once this one is in.
+        """
         while self._core.member not in self._core.membership.members:
-            replies = await self._query_initial_hosts()
+            replies = await self._query_hosts(self._initial_hosts)
             cluster_replies = [reply for reply in replies if reply.cluster is not None]
             if cluster_replies:
-                await self._join(cluster_replies)
+                await self._join(cluster_replies, self._may_vote(cluster_replies))
             elif self._may_form_cluster(replies):
                 self._form_cluster(replies)
             await trio.sleep(RETRY_INTERVAL_S)
+        if self._target_voters:
+            await self._rejoin_loop()
+
+    async def _rejoin_loop(self) -> None:
+        leader_seen_s = now_s()
+        while True:
+            await trio.sleep(RETRY_INTERVAL_S)
+            if self._core.has_active_leader() or not self._can_store():
+                leader_seen_s = now_s()
+            elif now_s() - leader_seen_s > REJOIN_AFTER_S:
+                await self._rejoin()
+
+    async def _rejoin(self) -> None:
+        """Ask to be a member again, if another host says that this one is none.
+
+        The member keeps its id, since it has kept its log and its votes.
+        """
+        members = self._core.membership.members
+        hosts = {*self._initial_hosts, *map(host_of, members)}
+        replies = [
+            reply
+            for reply in await self._query_hosts(sorted(hosts))
+            if reply.cluster == self._core.cluster
+        ]
+        if replies:
+            largest = max(_voter_count(reply.membership) for reply in replies)
+            await self._join(replies, votes=largest < self._target_voters)
 
     async def handle_member_query(
         self, host: HostId, request: MemberAsked
@@ -102,12 +143,14 @@
         events.CLUSTER_FORMED.log(cluster=cluster, voters=members)
         self._wake()
 
-    async def _join(self, cluster_replies: Sequence[MemberAnswered]) -> None:
+    async def _join(
+        self, cluster_replies: Sequence[MemberAnswered], votes: bool
+    ) -> None:
         member = self._core.member
-        if any(member in reply.membership.members for reply in cluster_replies):
+        if all(member in reply.membership.members for reply in cluster_replies):
             return
         events.JOIN_REQUESTED.log(member=member)
-        request = JoinAsked(member, self._may_vote(cluster_replies))
+        request = JoinAsked(member, votes)
         for reply in cluster_replies:
             try:
                 host = host_of(reply.member)
@@ -125,7 +168,7 @@
             or _voter_count(largest_membership) < self._target_voters
         )
 
-    async def _query_initial_hosts(self) -> list[MemberAnswered]:
+    async def _query_hosts(self, hosts: Sequence[HostId]) -> list[MemberAnswered]:
         replies: list[MemberAnswered] = []
 
         async def query(host: HostId) -> None:
@@ -137,7 +180,7 @@
                 replies.append(reply)
 
         async with trio.open_nursery() as nursery:
-            for host in self._initial_hosts:
+            for host in hosts:
                 if host != self._host:
                     nursery.start_soon(query, host)
         return replies
--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -153,10 +153,10 @@
 
 
 @asynccontextmanager
-async def cluster_on_disks(folder, **options):
+async def cluster_on_disks(folder, hosts=3, **options):
     with trio.fail_after(60):
         async with trio.open_nursery() as nursery:
-            cluster = AgreementCluster(nursery, 3, **options)
+            cluster = AgreementCluster(nursery, hosts, **options)
             disks = FullDisks(cluster, folder)
             await cluster.start_all()
             yield cluster, disks
@@ -270,3 +270,37 @@
         await cluster.start_all()
         await cluster.running[run.host].agreement.read_barrier()
         assert len(cluster.running[run.host].state.commands) == 16
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+async def test_a_voter_that_was_replaced_while_its_disk_was_full_takes_part_again(
+    tmp_path, monkeypatch, restarts
+):
+    """Else it would refuse each change and each read until its disk is lost."""
+    monkeypatch.setattr("currantwell.raft_agreement.VOTER_REPLACE_AFTER_S", 1.0)
+    options = {
+        "voters": 3,
+        "timing": RaftTiming(nonvoter_heartbeat_s=0.2),
+        "target_voters": 3,
+    }
+    async with cluster_on_disks(tmp_path, 5, **options) as (cluster, disks):
+        leader = await cluster.leader()
+        replaced = [name for name in cluster.voters if name != leader.host]
+        for name in replaced:
+            member = cluster.running[name].agreement.member
+            disks.disks[name].room_bytes = 0
+            await leader.agreement.propose(b"meanwhile")
+            while member in leader.agreement.membership.members:
+                await trio.sleep(0.05)
+            disks.disks[name].room_bytes = None
+            if restarts:
+                await cluster.kill(name)
+                disks.open(cluster, name)
+                await cluster.start(name)
+            with trio.fail_after(2 * ACKNOWLEDGE_TIMEOUT_S):
+                await cluster.running[name].agreement.propose(name.encode(), 60.0)
+            assert cluster.running[name].agreement.member == member
+        await leader.agreement.read_barrier()
+        assert set(replaced) <= set(leader.state.commands)
+        assert len(leader.agreement.membership.voters) == 3
+        assert len(leader.agreement.membership.members) == 5
