Refuse callers soon while the disk of a control host takes no writes

An operator's change or read at such a host waited for its whole time, 0.9 s, although the host can neither store nor learn anything: a change was known to the leader perhaps, but not told to the caller. Calls now wait for one more try of the write, 0.4 s, and are refused then; those that wait already when the disk fills up are as well. The refusal says no more than before, that it may still be applied, and the same change is acknowledged elsewhere.

Left: answering from the leader, which would need results in the replies to proposals.

On the code before, the three new tests fail: the callers wait on.

--- a/currantwell/raft_agreement.py
+++ b/currantwell/raft_agreement.py
@@ -5,7 +5,8 @@
 it is applied on this host.
 
 A member whose disk refuses a write repeats the write until it succeeds. Meanwhile it
-doesn't lead, and is to the others like one that is cut off.
+doesn't lead, is to the others like one that is cut off, and refuses its callers soon,
+so that they ask another host.
 """
 
 import random
@@ -65,6 +66,8 @@
 VOTER_REPLACE_AFTER_S = 5.0
 MIN_WRITE_RETRY_S = 0.05
 MAX_WRITE_RETRY_S = 0.2
+# Callers wait for one more try of the write, and then for its sync.
+DISK_WAIT_S = 0.4
 COMPACTION_RETRY_S = 5.0
 INCARNATION_BYTES = 6
 MAX_COMMAND_BYTES = 256 * 1024
@@ -74,10 +77,15 @@
     """A caller that waits for a proposal or a read."""
 
     def __init__(self) -> None:
-        self.done = trio.Event()
-        self.result: bytes = b""
+        self.woken = trio.Event()
+        self.result: bytes | None = None
         self.index: int | None = None
 
+    def wake(self) -> None:
+        """Let the caller look whether there is a result, or reason to give up."""
+        self.woken.set()
+        self.woken = trio.Event()
+
 
 class RaftAgreement:
     """Agreement among hosts, by the project's own implementation of Raft.
@@ -160,6 +168,7 @@
         self._known_leader: HostId | None = None
         self._leader_changed = trio.Event()
         self._write_failing = False
+        self._disk_usable = trio.Event()
         self._compact_after_s = 0.0
 
     @property
@@ -212,7 +221,8 @@
         Raises
         ------
         AgreementLost
-            If no majority confirmed it in time; it may still be applied.
+            If no majority confirmed it in time, or this host's disk takes no writes; it
+            may still be applied.
         ValueError
             If the command is larger than `MAX_COMMAND_BYTES`.
         """
@@ -227,12 +237,11 @@
         )
         try:
             with trio.fail_after(timeout_s):
-                await self._propose_until_applied(data, waiter)
+                return await self._propose_until_applied(data, waiter)
         except trio.TooSlowError as error:
             raise AgreementLost(f"not confirmed in {timeout_s} s") from error
         finally:
             del self._proposals[number]
-        return waiter.result
 
     async def read_barrier(self, timeout_s: float = PROPOSE_TIMEOUT_S) -> None:
         """Wait until this host's state includes everything committed before the call.
@@ -240,7 +249,7 @@
         Raises
         ------
         AgreementLost
-            If no majority confirmed it in time.
+            If no majority confirmed it in time, or this host's disk takes no writes.
         """
         try:
             with trio.fail_after(timeout_s):
@@ -249,7 +258,9 @@
                     await trio.sleep(RETRY_INTERVAL_S)
                     index = await self._read_index()
                 while self._applied_index < index:
-                    await self._newly_applied.wait()
+                    newly_applied = self._newly_applied
+                    await self._wait_for_disk()
+                    await newly_applied.wait()
         except trio.TooSlowError as error:
             raise AgreementLost(f"not confirmed in {timeout_s} s") from error
 
@@ -302,15 +313,18 @@
 
     # Proposals and reads.
 
-    async def _propose_until_applied(self, data: bytes, waiter: _Waiter) -> None:
-        while not waiter.done.is_set():
+    async def _propose_until_applied(self, data: bytes, waiter: _Waiter) -> bytes:
+        while waiter.result is None:
+            await self._wait_for_disk()
             wait_s = (
                 PROPOSAL_RESEND_S
                 if await self._propose_once(data)
                 else RETRY_INTERVAL_S
             )
-            with trio.move_on_after(wait_s):
-                await waiter.done.wait()
+            if waiter.result is None:
+                with trio.move_on_after(wait_s):
+                    await waiter.woken.wait()
+        return waiter.result
 
     async def _propose_once(self, data: bytes) -> bool:
         if self._core.propose(data):
@@ -320,6 +334,7 @@
         return reply is not None and reply.taken
 
     async def _read_index(self) -> int | None:
+        await self._wait_for_disk()
         if self.leader in (None, self._host):
             return await self._local_read_index()
         reply = await self._request_from_leader(ConfirmAsked(), ConfirmAnswered)
@@ -331,7 +346,7 @@
             return None
         waiter = self._reads[number] = _Waiter()
         self._wake()
-        await waiter.done.wait()
+        await waiter.woken.wait()
         return waiter.index
 
     async def _remove_once(self, host: HostId) -> bool:
@@ -380,17 +395,37 @@
             except DiskUnavailable as error:
                 if not self._write_failing:
                     self._write_failing = True
+                    self._disk_usable = trio.Event()
                     events.DISK_UNAVAILABLE.log(host=self._host, error=str(error))
                     self._core.stop_leading()
                     self._update_leader()
+                    self._wake_callers()
             on_retry()
             await trio.sleep(retry_s)
             retry_s = min(2 * retry_s, MAX_WRITE_RETRY_S)
         if self._write_failing:
             self._write_failing = False
+            self._disk_usable.set()
             after_s = round(now_s() - started_s, 3)
             events.DISK_USABLE.log(host=self._host, after_s=after_s)
 
+    async def _wait_for_disk(self) -> None:
+        if self._write_failing:
+            with trio.move_on_after(DISK_WAIT_S):
+                await self._disk_usable.wait()
+        if self._write_failing:
+            raise AgreementLost(f"the disk of {self._host} takes no writes")
+
+    def _wake_callers(self) -> None:
+        """Let all callers that wait on this host see that its disk takes no writes."""
+        for waiter in (*self._proposals.values(), *self._reads.values()):
+            waiter.wake()
+        self._notify_applied()
+
+    def _notify_applied(self) -> None:
+        self._newly_applied.set()
+        self._newly_applied = trio.Event()
+
     def _receive(self, envelope: Envelope) -> None:
         if self._write_failing:
             return
@@ -447,8 +482,7 @@
         for entry in output.committed:
             self._apply(entry)
         if output.snapshot is not None or output.committed:
-            self._newly_applied.set()
-            self._newly_applied = trio.Event()
+            self._notify_applied()
 
     def _apply(self, entry: Entry) -> None:
         if entry.membership is not None:
@@ -465,16 +499,16 @@
             waiter = self._proposals.get(proposal.number)
             if waiter and result is not None and own_start == _proposer(proposal):
                 waiter.result = result
-                waiter.done.set()
+                waiter.wake()
         self._applied_index = entry.index
 
     def _complete_reads(self, output: Output) -> None:
         for read in output.reads:
             waiter = self._reads.pop(read.number)
             waiter.index = read.index
-            waiter.done.set()
+            waiter.wake()
         for read in output.failed_reads:
-            self._reads.pop(read.number).done.set()
+            self._reads.pop(read.number).wake()
 
     def _update_leader(self) -> None:
         if self.leader != self._known_leader:
--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -304,3 +304,42 @@
         assert set(replaced) <= set(leader.state.commands)
         assert len(leader.agreement.membership.voters) == 3
         assert len(leader.agreement.membership.members) == 5
+
+
+@pytest.mark.parametrize("leads", [False, True])
+async def test_a_caller_is_told_soon_that_a_disk_is_full(tmp_path, leads):
+    """So that it asks another host, which answers with the first result."""
+    async with cluster_on_disks(tmp_path) as (cluster, disks):
+        leader = await cluster.leader()
+        full = next(run for run in cluster.running.values() if (run is leader) is leads)
+        disks.disks[full.host].room_bytes = 7
+        with trio.fail_after(RECOVERY_TIMEOUT_S), pytest.raises(AgreementLost):
+            await full.agreement.propose(b"first", 60.0)
+        with trio.fail_after(RECOVERY_TIMEOUT_S), pytest.raises(AgreementLost):
+            await full.agreement.propose(b"second", 60.0)
+        with trio.fail_after(RECOVERY_TIMEOUT_S), pytest.raises(AgreementLost):
+            await full.agreement.read_barrier(60.0)
+        await change_as_operator(cluster, "elsewhere")
+        disks.disks[full.host].room_bytes = None
+        await full.agreement.read_barrier()
+        assert "second" not in full.state.commands
+        assert "elsewhere" in full.state.commands
+
+
+async def test_a_read_that_waits_when_the_disk_fills_up_is_answered(tmp_path):
+    async with cluster_on_disks(tmp_path) as (cluster, disks):
+        leader = await cluster.leader()
+        others = [name for name in cluster.hosts if name != leader.host]
+        for name in others:
+            await cluster.kill(name)
+        disks.disks[leader.host].room_bytes = 7
+        with trio.fail_after(RECOVERY_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read_in_vain, leader)
+                with pytest.raises(AgreementLost):
+                    await leader.agreement.propose(b"alone", 60.0)
+
+
+async def read_in_vain(run):
+    with pytest.raises(AgreementLost):
+        await run.agreement.read_barrier(60.0)
