Take a reply that can't be decoded for none

A reply of another version of a host ended the process that had asked: the error of the decoder isn't among those that callers expect, and each request of the agreement runs in the nursery of its service. It counts as no reply now. Requests that can't be decoded got no reply before as well; both are logged. The first test fails on the code before with ValidationError, those of malformed requests pass there.

--- a/currantwell/peers.py
+++ b/currantwell/peers.py
@@ -17,6 +17,7 @@
 import pynng
 import trio
 
+from . import events
 from .errors import PeerUnreachable
 from .ids import HostId
 from .kernel import ServiceName
@@ -154,7 +155,13 @@
         frame = self._decode_frame(data)
         if frame is None or frame.name != reply.__name__:
             raise PeerUnreachable(f"{host}: answered with something else")
-        return msgspec.msgpack.decode(frame.body, type=reply)
+        try:
+            return msgspec.msgpack.decode(frame.body, type=reply)
+        except msgspec.DecodeError as error:
+            events.REQUEST_MALFORMED.log(
+                host=host, message=frame.name, error=str(error)
+            )
+            raise PeerUnreachable(f"{host}: answered with something else") from error
 
     def _socket(self, host: HostId) -> pynng.Req0:
         socket = self._sockets.get(host)
@@ -191,7 +198,10 @@
         message, handler = self._handlers[frame.name]
         try:
             request = msgspec.msgpack.decode(frame.body, type=message)
-        except msgspec.DecodeError:
+        except msgspec.DecodeError as error:
+            events.REQUEST_MALFORMED.log(
+                host=frame.sender, message=frame.name, error=str(error)
+            )
             return None
         return await handler(frame.sender, request)
 
