Agree on no proposal that can't be decoded

A leader took any bytes of another host. Each host decodes a proposal when it applies it, so one that can't be decoded ended all of them, and again at each start, since it was agreed. It takes another version or a fault of a host; neither was seen. The leader decodes it first now and refuses it. The new test fails before at the refusal, and without that check with the error of the decoder in the services of the hosts.

--- a/currantwell/raft_agreement.py
+++ b/currantwell/raft_agreement.py
@@ -15,6 +15,7 @@
 from contextlib import suppress
 from typing import TypeVar
 
+import msgspec
 import trio
 
 from . import events
@@ -293,6 +294,13 @@
     async def _handle_proposal(
         self, host: HostId, request: ProposalSent
     ) -> ProposalAnswered:
+        try:
+            decode_proposal(request.data)
+        except msgspec.DecodeError as error:
+            events.REQUEST_MALFORMED.log(
+                host=host, message=ProposalSent.__name__, error=str(error)
+            )
+            return ProposalAnswered(False)
         accepted = self._core.propose(request.data)
         self._wake()
         return ProposalAnswered(accepted)
--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -8,6 +8,7 @@
 from currantwell.consensus_leader import RaftTiming
 from currantwell.errors import AgreementLost
 from currantwell.journal import DiskJournal
+from currantwell.raft_messages import ProposalSent
 from tests.builders import AgreementCluster, FillableDisk
 
 RECOVERY_TIMEOUT_S = 2.0
@@ -343,3 +344,15 @@
 async def read_in_vain(run):
     with pytest.raises(AgreementLost):
         await run.agreement.read_barrier(60.0)
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x95\x00"])
+async def test_a_proposal_that_can_not_be_decoded_is_not_agreed(data):
+    """Else each host would end when it applies it, and again at each start."""
+    async with cluster_of(3) as cluster:
+        leader = await cluster.leader()
+        reply = await leader.agreement._handle_proposal("host-9", ProposalSent(data))
+        assert not reply.taken
+        for run in list(cluster.running.values()):
+            await run.agreement.propose(b"after")
+            assert "after" in run.state.commands
