Keep all channels of a process alive with one timer

A dispatcher of 20 entry hosts at rest was resumed 408 times a second, 146 of them for its 28 channels: each had a timer of its own for its pings, and each timer that ends costs a cancelled scope, an exception and a pass of the loop.

One task now pings all channels of the process and looks for silence. A ping is up to a fifth of its interval late; a channel that sends nothing but pings is pinged up to two fifths early, which brings idle channels to the same time within two intervals. Silence is noticed as before, four announced intervals after the last bytes, after what has arrived was received; it is now noticed during a blocked write too. A ping that shortens the interval is sent at once as before.

The new test counted 200 wake-ups of ten channels in ten intervals before, 20 at most now.

Failed try: pings that are only late fall into five groups and never come together; the test counted 42 wake-ups.

--- a/currantwell/fleet/channel.py
+++ b/currantwell/fleet/channel.py
@@ -17,12 +17,17 @@
 
 from ..clock import now_s
 from ..direct_stream import DirectStream, open_direct_stream
+from .keepalive import Keepalive
 from .messages import Message, Ping
 
 __all__ = ["PING_INTERVAL_S", "Channel", "accept_channel", "encode", "open_channel"]
 
 # Interval while the other end relies on the pings. Each ping wakes up both ends.
 PING_INTERVAL_S = 0.19
+# Shares of the interval by which a ping may be late, and early if only pings are sent.
+# Together they suffice to bring the pings of all idle channels to the same time.
+PING_DELAY_SHARE = 0.2
+PING_ADVANCE_SHARE = 0.4
 # The timeout is 0.75 s at the interval above, longer than an event loop pauses.
 SILENCE_PINGS = 4
 SILENCE_TIMEOUT_S = SILENCE_PINGS * PING_INTERVAL_S
@@ -63,11 +68,13 @@
         self._ping_s = ping_s
         self._promised_s = math.inf
         self._sent_s = -math.inf
+        self._sent_ping = False
         self._silence_s = SILENCE_TIMEOUT_S
         self._received_s = math.inf
         self._sending = False
         self._unsent = bytearray()
-        self._changed = trio.Event()
+        self._unsent_added = trio.Event()
+        self._keepalive: Keepalive | None = None
         self._scope = trio.CancelScope()
         self.closed = False
 
@@ -85,7 +92,7 @@
         """Change the ping interval; a shorter one is announced to the peer at once."""
         self._ping_s = ping_s
         if ping_s < self._promised_s:
-            self._changed.set()
+            self._note_next_check()
 
     def close(self) -> None:
         """Close the channel."""
@@ -100,7 +107,7 @@
         """
         buffer = bytearray()
         self._received_s = now_s()
-        self._changed.set()
+        self._note_next_check()
         try:
             while not self.closed:
                 data = await self._stream.receive_some(RECEIVE_BYTES)
@@ -122,7 +129,9 @@
             self.close()
 
     async def run(self) -> None:
-        """Send queued messages and pings until the channel closes."""
+        """Keep the channel alive and send queued messages until it closes."""
+        self._keepalive = Keepalive.current()
+        self._keepalive.add(self)
         try:
             with self._scope:
                 await self._send_loop()
@@ -130,27 +139,55 @@
             pass
         finally:
             self.closed = True
+            self._keepalive.remove(self)
             with trio.CancelScope(shield=True), suppress(OSError):
                 await trio.aclose_forcefully(self._stream)
 
     async def _send_loop(self) -> None:
+        """Send what could not be written at once."""
         while True:
-            self._changed = trio.Event()
-            if now_s() >= self._ping_due_s() or self._ping_s < self._promised_s:
-                self._promised_s = self._ping_s
-                self._write(_encoder.encode(Ping(self._ping_s)))
             while self._unsent:
                 data, self._unsent = self._unsent, bytearray()
                 self._sending = True
                 await self._stream.send_all(data)
                 self._sending = False
-            with trio.move_on_at(min(self._ping_due_s(), self._silence_end_s())):
-                await self._changed.wait()
-            if now_s() >= self._silence_end_s():
-                # What has arrived by now is received first.
-                await trio.lowlevel.checkpoint()
-                if now_s() >= self._silence_end_s():
-                    return
+            self._unsent_added = trio.Event()
+            await self._unsent_added.wait()
+
+    # Pings and silence, see `KeptAlive`.
+
+    def next_check_s(self) -> float:
+        """Return the time by which a ping or a check for silence is due."""
+        if self.closed:
+            return math.inf
+        if self._ping_s < self._promised_s:
+            return -math.inf
+        delay_s = PING_DELAY_SHARE * self._promised_s
+        return min(self._ping_due_s() + delay_s, self._silence_end_s())
+
+    def ping_if_due(self) -> None:
+        """Send a ping if its time has come, or if it announces a shorter interval.
+
+        Only a channel that carries nothing else is pinged early, since what another one
+        sends next takes the place of a ping.
+        """
+        if self.closed:
+            return
+        due_s = self._ping_due_s()
+        if self._sent_ping:
+            due_s -= PING_ADVANCE_SHARE * self._ping_s
+        if now_s() >= due_s or self._ping_s < self._promised_s:
+            self._promised_s = self._ping_s
+            self._write(_encoder.encode(Ping(self._ping_s)))
+            self._sent_ping = True
+
+    def is_silent(self) -> bool:
+        """Return whether the other end has missed its announced interval."""
+        return now_s() >= self._silence_end_s()
+
+    def _note_next_check(self) -> None:
+        if self._keepalive is not None:
+            self._keepalive.check_by(self.next_check_s())
 
     def _ping_due_s(self) -> float:
         return self._sent_s + min(self._promised_s, self._ping_s)
@@ -163,12 +200,13 @@
         previous_s = self._silence_s
         self._silence_s = SILENCE_PINGS * interval_s
         if self._silence_s < previous_s:
-            self._changed.set()
+            self._note_next_check()
 
     def _write(self, body: bytes) -> None:
         """Write a message as far as the kernel accepts it, and queue the rest."""
         frame = len(body).to_bytes(LENGTH_BYTES, "big") + body
         self._sent_s = now_s()
+        self._sent_ping = False
         sent = 0
         if self._direct is not None and not self._sending and not self._unsent:
             try:
@@ -179,7 +217,7 @@
         if sent == len(frame):
             return
         self._unsent += frame[sent:]
-        self._changed.set()
+        self._unsent_added.set()
         if len(self._unsent) > MAX_UNSENT_BYTES:
             self.close()
 
--- a/tests/fleet/test_channel.py
+++ b/tests/fleet/test_channel.py
@@ -187,3 +187,21 @@
     await trio.sleep(PING_INTERVAL_S)
     assert not far.closed
     nursery.cancel_scope.cancel()
+
+
+async def test_channels_at_rest_share_their_wake_ups(nursery):
+    # Each had a timer of its own: a third of the wake-ups of a host with 28 channels.
+    intervals, channels = 10, 10
+    for _ in range(channels):
+        for end in await connected(nursery):
+            nursery.start_soon(receive, end, [])
+        await trio.sleep(PING_INTERVAL_S / channels)
+    counter = StepCounter()
+    trio.lowlevel.add_instrument(counter)
+    await trio.sleep(intervals * PING_INTERVAL_S)
+    trio.lowlevel.remove_instrument(counter)
+    wake_ups = counter.steps_of("Keepalive.run")
+    for name in ("Channel.run", "connected.<locals>.accept", "_run_handler"):
+        wake_ups += counter.steps_of(name)
+    assert wake_ups <= 2 * intervals
+    nursery.cancel_scope.cancel()
