Import in each program only its own parts

The protocols of links and `HttpReply` have modules without imports of their own, so that a dispatcher with another link doesn't import httpcore.

The new test failed before: both programs imported all of it.

--- a/currantwell/call_client.py
+++ b/currantwell/call_client.py
@@ -17,7 +17,7 @@
 from .clock import now_s
 from .direct_stream import DirectStream, open_direct_stream
 from .errors import EndpointUnreachable
-from .http_client import HttpReply
+from .http_reply import HttpReply
 
 __all__ = ["CallClient"]
 
--- a/currantwell/client.py
+++ b/currantwell/client.py
@@ -17,7 +17,8 @@
 from .codes import ResultCode, is_unknown
 from .endpoint_protocol import Announcement
 from .errors import EndpointUnreachable, RequestRefused
-from .http_client import HttpClient, HttpReply
+from .http_client import HttpClient
+from .http_reply import HttpReply
 from .ids import DataCentre, JobKey, Team, new_key, owning_data_centre
 from .status import Status
 from .submission import Submission
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -19,7 +19,6 @@
 from .codes import ResultCode
 from .decisions import PlacementDecision
 from .drains import DrainSource, NoDrains
-from .endpoint_link import EndpointLink, MakeLink
 from .endpoint_protocol import (
     AdoptReply,
     Announcement,
@@ -38,6 +37,7 @@
 from .job_log import JobLog
 from .jobs import Job, JobTable, Task
 from .kernel import ServiceName
+from .link import MakeLink
 from .metrics import HostLoad, Metrics, Timing
 from .progress import AttemptDecision, AttemptProgress, decide_attempt
 from .records import (
@@ -113,8 +113,8 @@
         Wall clock for deadlines that must survive a restart of the process.
     limits : DispatcherLimits or None
         Timeouts and retention; None for the defaults.
-    make_link : callable
-        Makes the link to an incarnation of an endpoint.
+    make_link : callable or None
+        Makes the link to an incarnation of an endpoint; None for `EndpointLink`.
     metrics : Metrics or None
         Records response and queue times.
     drains : DrainSource or None
@@ -132,7 +132,7 @@
         calendar: CalendarClock,
         limits: DispatcherLimits | None = None,
         metrics: Metrics | None = None,
-        make_link: MakeLink = EndpointLink,
+        make_link: MakeLink | None = None,
         drains: DrainSource | None = None,
     ) -> None:
         self.data_centre = data_centre
@@ -155,7 +155,7 @@
             ),
             scheduler,
             drains or NoDrains(),
-            make_link,
+            make_link or _default_make_link(),
             self,
             self._grantable_lease_s,
         )
@@ -898,3 +898,10 @@
         task.spec.memory_mb,
         task.spec.accelerators,
     )
+
+
+def _default_make_link() -> MakeLink:
+    # Imported only if used, since it imports a complete HTTP client.
+    from .endpoint_link import EndpointLink
+
+    return EndpointLink
--- a/currantwell/endpoint_roster.py
+++ b/currantwell/endpoint_roster.py
@@ -16,9 +16,9 @@
 from .clock import now_s
 from .codes import ResultCode
 from .drains import DrainSource
-from .endpoint_link import Link, LinkHandler, MakeLink
 from .endpoint_protocol import Announcement, AnnouncementReply, Heartbeat, LeaseGrant
 from .ids import EndpointId, Epoch, Incarnation
+from .link import Link, LinkHandler, MakeLink
 from .scheduler import Scheduler
 
 __all__ = ["EndpointRoster", "RegisteredEndpoint", "RosterLimits"]
--- a/currantwell/http_client.py
+++ b/currantwell/http_client.py
@@ -7,8 +7,9 @@
 import trio
 
 from .errors import EndpointUnreachable, StreamRefused
+from .http_reply import HttpReply
 
-__all__ = ["HttpClient", "HttpReply"]
+__all__ = ["HttpClient"]
 
 KEEPALIVE_S = 30.0
 JSON_HEADERS = [(b"content-type", b"application/json")]
@@ -21,14 +22,6 @@
 )
 
 
-class HttpReply:
-    """An HTTP status and a complete body."""
-
-    def __init__(self, status: int, body: bytes) -> None:
-        self.status = status
-        self.body = body
-
-
 class HttpClient:
     """A pool of connections to one server.
 
--- /dev/null
+++ b/tests/cooperative/test_imports.py
@@ -0,0 +1,33 @@
+"""The programs import only what they use, since each start pays for its imports."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent.parent
+HTTP_CLIENT = {"httpcore", "currantwell.http_client"}
+AGREEMENT = {"pynng", "currantwell.raft_agreement", "currantwell.consensus"}
+DISPATCH = {"httptools", "currantwell.dispatcher", "currantwell.scheduler"}
+
+
+def modules_of(module):
+    code = f"import {module}, sys; print(*sys.modules)"
+    path = [str(ROOT), str(ROOT / "platform")]
+    finished = subprocess.run(
+        [sys.executable, "-c", f"import sys; sys.path += {path}; {code}"],
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=ROOT,
+    )
+    return set(finished.stdout.split())
+
+
+@pytest.mark.parametrize(
+    ("program", "unused"),
+    [("entry", HTTP_CLIENT | AGREEMENT), ("control", HTTP_CLIENT | DISPATCH)],
+)
+def test_a_program_imports_only_its_own_parts(program, unused):
+    assert not modules_of(f"cooperative.{program}_program") & unused
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -6,7 +6,7 @@
 from currantwell.client import Client
 from currantwell.codes import ResultCode
 from currantwell.errors import EndpointUnreachable, RequestRefused
-from currantwell.http_client import HttpReply
+from currantwell.http_reply import HttpReply
 from currantwell.submission import Submission, TaskSpec
 
 JOB = Submission("valdres:k1", "drivers", (TaskSpec("receipt"),))
