Serve an HTTP request in three steps of the event loop

Heartbeats of endpoints and checks of readiness took the same way.

Hypercorn's connection passes the event loop at each lock, each write, each event of a request and each change between busy and idle, for which it also starts a task. Where a library waits for nothing, the pass costs more than the work. `HttpConnection` runs Hypercorn's protocol over a `DirectStream`: it waits for data, for room in a full buffer and for the application. Idle connections are closed by the server when it drains, in place of a task each. Keep-alive of 60 s never applied, since a read times out after 30 s; its constant is gone. No application used the lifespan events, which are not sent any more.

--- a/currantwell/direct_stream.py
+++ b/currantwell/direct_stream.py
@@ -8,6 +8,7 @@
 import errno
 import os
 import socket
+from contextlib import suppress
 from typing import Self
 
 import trio
@@ -74,6 +75,11 @@
             except OSError as error:
                 raise trio.BrokenResourceError(str(error)) from error
 
+    def send_eof(self) -> None:
+        """Tell the other end that nothing more is sent, if the connection is open."""
+        with suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+
     def close(self) -> None:
         """Close the connection; tasks that wait for it get `ClosedResourceError`."""
         if self.socket.fileno() >= 0:
--- /dev/null
+++ b/currantwell/http_connection.py
@@ -0,0 +1,195 @@
+"""One connection of an HTTP server: Hypercorn's protocol over a direct stream.
+
+Hypercorn's own connection passes the event loop at each lock, each write and each event
+of a request, and starts a task whenever the connection becomes idle. This one waits
+only for data, for room in a full buffer and for the application.
+"""
+
+import math
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+from hypercorn.config import Config
+from hypercorn.events import Closed, Event, RawData, Updated
+from hypercorn.protocol import ProtocolWrapper
+from hypercorn.trio.task_group import TaskGroup
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState
+from hypercorn.utils import parse_socket_addr
+
+from .direct_stream import DirectStream
+
+__all__ = ["HttpConnection"]
+
+RECEIVE_BYTES = 64 * 1024
+
+
+class HttpConnection:
+    """Serves the requests that arrive on one connection.
+
+    Parameters
+    ----------
+    app : callable
+        The application.
+    config : Config
+        Configuration of Hypercorn.
+    context : WorkerContext
+        Tells whether the server is stopping.
+    stream : trio.SocketStream
+        The connection; this object takes it over.
+
+    Attributes
+    ----------
+    idle : bool
+        Whether no request is in progress.
+    """
+
+    def __init__(
+        self,
+        app: Any,
+        config: Config,
+        context: WorkerContext,
+        stream: trio.SocketStream,
+    ) -> None:
+        self.idle = True
+        self._app = app
+        self._config = config
+        self._context = context
+        self._stream = DirectStream.taken_from(stream)
+        self._send_lock = trio.Lock()
+        self._protocol: ProtocolWrapper
+
+    async def run(self) -> None:
+        """Serve requests until either end closes the connection."""
+        socket = self._stream.socket
+        try:
+            client = parse_socket_addr(socket.family, socket.getpeername())
+            server = parse_socket_addr(socket.family, socket.getsockname())
+            async with _RequestTasks() as tasks:
+                self._protocol = ProtocolWrapper(
+                    self._app,
+                    self._config,
+                    self._context,
+                    tasks,
+                    ConnectionState({}),
+                    False,
+                    client,
+                    server,
+                    self._handle_protocol_event,
+                    "http/1.1",
+                )
+                await self._protocol.initiate()
+                if not self._context.terminated.is_set():
+                    await self._read_loop()
+        except OSError:
+            return
+        finally:
+            self._close()
+
+    async def close_if_idle(self) -> None:
+        """Close the connection unless a request is in progress."""
+        if self.idle:
+            await self._protocol.handle(Closed())
+            self._stream.close()
+
+    async def _read_loop(self) -> None:
+        timeout_s = self._config.read_timeout or math.inf
+        while True:
+            try:
+                with trio.fail_after(timeout_s):
+                    data = await self._stream.receive_some(RECEIVE_BYTES)
+            except (
+                trio.ClosedResourceError,
+                trio.BrokenResourceError,
+                trio.TooSlowError,
+            ):
+                break
+            await self._protocol.handle(RawData(data))
+            if not data:
+                break
+        await self._protocol.handle(Closed())
+
+    async def _handle_protocol_event(self, event: Event) -> None:
+        match event:
+            case RawData():
+                await self._send(event.data)
+            case Closed():
+                self._close()
+                await self._protocol.handle(Closed())
+            case Updated():
+                self.idle = event.idle
+
+    async def _send(self, data: bytes) -> None:
+        """Send data, which is completed even if the request is cancelled."""
+        if not data:
+            return
+        try:
+            with trio.CancelScope(shield=True):
+                try:
+                    self._send_lock.acquire_nowait()
+                except trio.WouldBlock:
+                    await self._send_lock.acquire()
+                try:
+                    await self._stream.send_all(data)
+                finally:
+                    self._send_lock.release()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            await self._protocol.handle(Closed())
+
+    def _close(self) -> None:
+        self._stream.send_eof()
+        self._stream.close()
+
+
+class _RequestTasks(TaskGroup):
+    """Runs the application; its events are passed on without a pass of the loop."""
+
+    async def spawn_app(
+        self,
+        app: Any,
+        config: Config,
+        scope: Any,
+        send: Callable[[Any], Awaitable[None]],
+    ) -> Callable[[Any], Awaitable[None]]:
+        """Start the application for one request; return how it is sent events."""
+        sender, receiver = trio.open_memory_channel[Any](config.max_app_queue_size)
+
+        async def put(event: Any) -> None:
+            try:
+                sender.send_nowait(event)
+            except trio.WouldBlock:
+                await sender.send(event)
+
+        async def receive() -> Any:
+            try:
+                return receiver.receive_nowait()
+            except trio.WouldBlock:
+                return await receiver.receive()
+
+        assert self._nursery is not None
+        self._nursery.start_soon(_run_app, app, config, scope, receive, send)
+        return put
+
+
+async def _run_app(
+    app: Any,
+    config: Config,
+    scope: Any,
+    receive: Callable[[], Awaitable[Any]],
+    send: Callable[[Any], Awaitable[None]],
+) -> None:
+    """Run the application for one request; a failure of it is answered with 500.
+
+    If it is cancelled, nothing is sent, since the connection is about to be closed.
+    """
+    try:
+        await app(scope, receive, send)
+    except BaseExceptionGroup as error:
+        _, others = error.split(trio.Cancelled)
+        if others is None:
+            raise
+        await config.log.exception("Error in ASGI Framework")
+    except Exception:
+        await config.log.exception("Error in ASGI Framework")
+    await send(None)
--- a/currantwell/http_server.py
+++ b/currantwell/http_server.py
@@ -2,12 +2,15 @@
 
 import socket
 from collections.abc import Awaitable, Callable, MutableMapping
+from functools import partial
 from typing import Any
 
 import trio
 from hypercorn.config import Config
-from hypercorn.trio import serve
+from hypercorn.trio.worker_context import WorkerContext
 
+from .clock import now_s
+from .http_connection import HttpConnection
 from .kernel import ServiceName
 
 __all__ = ["AsgiApp", "HttpServer", "bind"]
@@ -17,7 +20,6 @@
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 AsgiApp = Callable[[Scope, Receive, Send], Awaitable[None]]
 
-KEEP_ALIVE_S = 60.0
 READ_TIMEOUT_S = 30
 BACKLOG = 256
 
@@ -58,14 +60,14 @@
     ) -> None:
         self.name = ServiceName(name)
         self._app = app
+        self._listeners = listeners
+        self._graceful_s = graceful_s
+        self._connections: set[HttpConnection] = set()
+        self._context = WorkerContext(None)
         self.address: tuple[str, int] = listeners[0].getsockname()
         self._stop_requested = trio.Event()
         self._stopped = trio.Event()
         self._config = Config()
-        self._config.bind = [f"fd://{listener.detach()}" for listener in listeners]
-        self._config.backlog = BACKLOG
-        self._config.graceful_timeout = graceful_s
-        self._config.keep_alive_timeout = KEEP_ALIVE_S
         self._config.read_timeout = READ_TIMEOUT_S
         self._config.accesslog = None
         self._config.errorlog = None
@@ -82,11 +84,37 @@
         self._stop_requested.set()
         await self._stopped.wait()
 
-    async def _serve(self, task_status: trio.TaskStatus[list[str]]) -> None:
-        await serve(
-            self._app,  # type: ignore[arg-type]
-            self._config,
-            shutdown_trigger=self._stop_requested.wait,
-            task_status=task_status,
-            mode="asgi",
-        )
+    async def _serve(self, task_status: trio.TaskStatus[None]) -> None:
+        async with trio.open_nursery() as connections:
+            for listener in self._listeners:
+                listener.listen(BACKLOG)
+            listeners = [
+                trio.SocketListener(trio.socket.from_stdlib_socket(listener))
+                for listener in self._listeners
+            ]
+            try:
+                async with trio.open_nursery() as accepting:
+                    accepting.start_soon(
+                        partial(
+                            trio.serve_listeners,
+                            self._serve_connection,
+                            listeners,
+                            handler_nursery=connections,
+                        )
+                    )
+                    task_status.started()
+                    await self._stop_requested.wait()
+                    accepting.cancel_scope.cancel()
+            finally:
+                await self._context.terminated.set()
+                connections.cancel_scope.deadline = now_s() + self._graceful_s
+            for connection in list(self._connections):
+                await connection.close_if_idle()
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        connection = HttpConnection(self._app, self._config, self._context, stream)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
