Answer requests that are read as a host closes its connections

A caller that kept its connection open could send a request at the moment at which the host closed the connection, and got no answer, though the host had read the request and ran it. Hypercorn closes an idle connection from another task than the one that reads from it: a request that was read in the same turn of the event loop met a closed socket. A request whose head had arrived in part was cut as well.

HttpServer now uses Hypercorn's connections without its server loop. A connection is closed by the task that reads from it, which is interrupted only if it has read nothing since the last reply. `announce_stop` puts Connection: close in every reply, not only in those of jobs, so clients leave by themselves.

Of the same class: the limit of 30 s for a read from a client ran on while the client waited for its reply, and told the application that the client had left, which cancels the job. It now holds only while a request is incomplete. The task of a connection that its client had closed stayed for up to 60 s.

The application's lifespan calls are gone with the server loop, none of the applications used them.

--- a/currantwell/fleet/metrics_app.py
+++ b/currantwell/fleet/metrics_app.py
@@ -27,11 +27,6 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Reply to every request with all metrics."""
-        if scope["type"] == "lifespan":
-            for _ in range(2):
-                event = await receive()
-                await send({"type": f"{event['type']}.complete"})
-            return
         data = self._metrics.text(self._load()).encode()
         length = (b"content-length", str(len(data)).encode())
         head = {"type": "http.response.start", "status": 200}
--- a/currantwell/http_server.py
+++ b/currantwell/http_server.py
@@ -1,12 +1,23 @@
-"""Serves an ASGI application with Hypercorn in the current Trio run."""
+"""Serves an ASGI application with Hypercorn's protocols in the current Trio run.
 
+Invariant: a request whose bytes were read from a connection gets its reply before that
+connection is closed, unless the client stops sending or the time to stop runs out.
+"""
+
+import math
 import socket
 from collections.abc import Awaitable, Callable, MutableMapping
+from functools import partial
 from typing import Any
 
+import h11
 import trio
+from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
-from hypercorn.trio import serve
+from hypercorn.events import Closed, Event, RawData, Updated
+from hypercorn.trio.tcp_server import MAX_RECV, TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState, LifespanState
 
 from .kernel import ServiceName
 
@@ -47,6 +58,13 @@
         Seconds that requests in progress may take after `drain`.
     name : str
         The name of the service.
+
+    Attributes
+    ----------
+    address : tuple
+        Address and port of the first listener.
+    in_progress : int
+        Number of requests whose head has arrived and whose reply isn't sent in full.
     """
 
     def __init__(
@@ -59,12 +77,14 @@
         self.name = ServiceName(name)
         self._app = app
         self.address: tuple[str, int] = listeners[0].getsockname()
+        self.in_progress = 0
+        self._listeners = listeners
+        self._stopping = False
         self._stop_requested = trio.Event()
         self._stopped = trio.Event()
+        self._graceful_s = graceful_s
+        self._context = WorkerContext(None)
         self._config = Config()
-        self._config.bind = [f"fd://{listener.detach()}" for listener in listeners]
-        self._config.backlog = BACKLOG
-        self._config.graceful_timeout = graceful_s
         self._config.keep_alive_timeout = KEEP_ALIVE_S
         self._config.read_timeout = READ_TIMEOUT_S
         self._config.accesslog = None
@@ -72,21 +92,118 @@
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Serve until `drain` is called or the task is cancelled."""
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self._serve)
-            task_status.started()
+        listeners = []
+        for listener in self._listeners:
+            listener.listen(BACKLOG)
+            listener.setblocking(False)
+            stream = trio.socket.from_stdlib_socket(listener)
+            listeners.append(trio.SocketListener(stream))
+        async with trio.open_nursery() as connections:
+            async with trio.open_nursery() as accepting:
+                await accepting.start(
+                    partial(
+                        trio.serve_listeners,
+                        self._serve_connection,
+                        listeners,
+                        handler_nursery=connections,
+                    )
+                )
+                task_status.started()
+                await self._stop_requested.wait()
+                accepting.cancel_scope.cancel()
+            connections.cancel_scope.deadline = trio.current_time() + self._graceful_s
+            await self._context.terminated.set()
         self._stopped.set()
 
+    def announce_stop(self) -> None:
+        """From now on, tell clients in each reply that their connection closes."""
+        self._stopping = True
+
     async def drain(self) -> None:
         """Stop listening and wait until the requests in progress have ended."""
+        self.announce_stop()
         self._stop_requested.set()
         await self._stopped.wait()
 
-    async def _serve(self, task_status: trio.TaskStatus[list[str]]) -> None:
-        await serve(
-            self._app,  # type: ignore[arg-type]
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        state = ConnectionState(LifespanState())
+        app = ASGIWrapper(self._reply)  # type: ignore[arg-type]
+        await _Connection(
+            app,
             self._config,
-            shutdown_trigger=self._stop_requested.wait,
-            task_status=task_status,
-            mode="asgi",
-        )
+            self._context,
+            state,
+            stream,  # type: ignore[arg-type]
+        ).run()
+
+    async def _reply(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Have the application reply to one request, which is counted meanwhile."""
+
+        async def send_event(event: MutableMapping[str, Any]) -> None:
+            if self._stopping and event["type"] == "http.response.start":
+                headers = [*event.get("headers", ()), (b"connection", b"close")]
+                event = {**event, "headers": headers}
+            await send(event)
+
+        self.in_progress += 1
+        try:
+            await self._app(scope, receive, send_event)
+        finally:
+            self.in_progress -= 1
+
+
+class _Connection(TCPServer):
+    """A connection that is closed only while no request has begun to arrive.
+
+    Hypercorn closes the socket of an idle connection beside the task that reads from
+    it, which may just have read a request. Here that task is asked to stop, and does so
+    only if it has read nothing.
+    """
+
+    _idle = True
+    _closing = False
+    _receiving: trio.CancelScope | None = None
+
+    async def protocol_send(self, event: Event) -> None:
+        if isinstance(event, Updated):
+            self._idle = event.idle
+        await super().protocol_send(event)
+
+    async def _read_data(self) -> None:
+        while not (self._closing and self._idle):
+            try:
+                data = await self._receive()
+            except (
+                trio.ClosedResourceError,
+                trio.BrokenResourceError,
+                trio.TooSlowError,
+            ):
+                break
+            if data is None:
+                continue
+            self._idle = self._idle and not data
+            await self.protocol.handle(RawData(data))
+            if not data:
+                break
+        await self.protocol.handle(Closed())
+        await self.idle_task.stop()
+
+    async def _receive(self) -> bytes | None:
+        """Return the next bytes from the client, None if interrupted before any."""
+        timeout_s = math.inf if self._request_is_read else self.config.read_timeout
+        with trio.CancelScope() as self._receiving:
+            with trio.fail_after(timeout_s or math.inf):
+                return bytes(await self.stream.receive_some(MAX_RECV))
+        return None
+
+    @property
+    def _request_is_read(self) -> bool:
+        connection = getattr(self.protocol.protocol, "connection", None)
+        return getattr(connection, "their_state", None) is h11.DONE
+
+    async def _idle_timeout(self) -> None:
+        with trio.move_on_after(self.config.keep_alive_timeout):
+            await self.context.terminated.wait()
+        self._closing = True
+        if self._idle and self._receiving is not None:
+            self._receiving.cancel()
