--- a/currantwell/http_connection.py
+++ b/currantwell/http_connection.py
@@ -1,5 +1,9 @@
 """One connection of an HTTP server: Hypercorn's protocol over a direct stream.
 
+Invariant: a request whose bytes were read gets its reply before the connection is
+closed, unless the client stops sending or the request is cancelled. The connection is
+closed by the task that reads from it, and only while no request has begun to arrive.
+
 Hypercorn's own connection passes the event loop at each lock, each write and each event
 of a request, and starts a task whenever the connection becomes idle. This one waits
 only for data, for room in a full buffer and for the application.
@@ -9,6 +13,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import h11
 import trio
 from hypercorn.config import Config
 from hypercorn.events import Closed, Event, RawData, Updated
@@ -38,11 +43,6 @@
         Tells whether the server is stopping.
     stream : trio.SocketStream
         The connection; this object takes it over.
-
-    Attributes
-    ----------
-    idle : bool
-        Whether no request is in progress.
     """
 
     def __init__(
@@ -52,7 +52,9 @@
         context: WorkerContext,
         stream: trio.SocketStream,
     ) -> None:
-        self.idle = True
+        self._idle = True
+        self._closing = context.terminated.is_set()
+        self._receiving: trio.CancelScope | None = None
         self._app = app
         self._config = config
         self._context = context
@@ -80,36 +82,51 @@
                     "http/1.1",
                 )
                 await self._protocol.initiate()
-                if not self._context.terminated.is_set():
-                    await self._read_loop()
+                await self._read_loop()
         except OSError:
             return
         finally:
             self._close()
 
-    async def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
-        if self.idle:
-            await self._protocol.handle(Closed())
-            self._stream.close()
+    def close_when_idle(self) -> None:
+        """Close the connection once no request is in progress."""
+        self._closing = True
+        if self._idle and self._receiving is not None:
+            self._receiving.cancel()
 
     async def _read_loop(self) -> None:
-        timeout_s = self._config.read_timeout or math.inf
-        while True:
+        while not (self._closing and self._idle):
             try:
-                with trio.fail_after(timeout_s):
-                    data = await self._stream.receive_some(RECEIVE_BYTES)
-            except (
-                trio.ClosedResourceError,
-                trio.BrokenResourceError,
-                trio.TooSlowError,
-            ):
+                data = await self._receive()
+            except (trio.ClosedResourceError, trio.BrokenResourceError):
+                break
+            if data is None:
                 break
+            self._idle = self._idle and not data
             await self._protocol.handle(RawData(data))
             if not data:
                 break
         await self._protocol.handle(Closed())
 
+    async def _receive(self) -> bytes | None:
+        """Return the next bytes, none at the end of stream.
+
+        Returns None if the client has sent nothing in time, or nothing when the
+        connection is to be closed.
+        """
+        timeout_s = math.inf
+        if not self._request_is_read:
+            timeout_s = self._config.read_timeout or math.inf
+        with trio.move_on_after(timeout_s) as self._receiving:
+            return await self._stream.receive_some(RECEIVE_BYTES)
+        return self._stream.receive_now(RECEIVE_BYTES)
+
+    @property
+    def _request_is_read(self) -> bool:
+        """Whether the client waits for the reply to a request that it sent in full."""
+        connection = getattr(self._protocol.protocol, "connection", None)
+        return getattr(connection, "their_state", None) is h11.DONE
+
     async def _handle_protocol_event(self, event: Event) -> None:
         match event:
             case RawData():
@@ -118,7 +135,7 @@
                 self._close()
                 await self._protocol.handle(Closed())
             case Updated():
-                self.idle = event.idle
+                self._idle = event.idle
 
     async def _send(self, data: bytes) -> None:
         """Send data, which is completed even if the request is cancelled."""
--- a/currantwell/http_server.py
+++ b/currantwell/http_server.py
@@ -49,6 +49,13 @@
         Seconds that requests in progress may take after `drain`.
     name : str
         The name of the service.
+
+    Attributes
+    ----------
+    address : tuple
+        Address and port of the first listener.
+    in_progress : int
+        Number of requests whose head has arrived and whose reply isn't sent in full.
     """
 
     def __init__(
@@ -59,7 +66,9 @@
         name: str = "http",
     ) -> None:
         self.name = ServiceName(name)
+        self.in_progress = 0
         self._app = app
+        self._stopping = False
         self._listeners = listeners
         self._graceful_s = graceful_s
         self._connections: set[HttpConnection] = set()
@@ -79,8 +88,13 @@
             task_status.started()
         self._stopped.set()
 
+    def announce_stop(self) -> None:
+        """From now on, tell clients in each reply that their connection closes."""
+        self._stopping = True
+
     async def drain(self) -> None:
         """Stop listening and wait until the requests in progress have ended."""
+        self.announce_stop()
         self._stop_requested.set()
         await self._stopped.wait()
 
@@ -108,13 +122,28 @@
             finally:
                 await self._context.terminated.set()
                 connections.cancel_scope.deadline = now_s() + self._graceful_s
-            for connection in list(self._connections):
-                await connection.close_if_idle()
+            for connection in self._connections:
+                connection.close_when_idle()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        connection = HttpConnection(self._app, self._config, self._context, stream)
+        connection = HttpConnection(self._reply, self._config, self._context, stream)
         self._connections.add(connection)
         try:
             await connection.run()
         finally:
             self._connections.discard(connection)
+
+    async def _reply(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Have the application reply to one request, which is counted meanwhile."""
+
+        async def send_event(event: MutableMapping[str, Any]) -> None:
+            if self._stopping and event["type"] == "http.response.start":
+                headers = [*event.get("headers", ()), (b"connection", b"close")]
+                event = {**event, "headers": headers}
+            await send(event)
+
+        self.in_progress += 1
+        try:
+            await self._app(scope, receive, send_event)
+        finally:
+            self.in_progress -= 1
