Test requests on connections that are kept open until the host is gone

The test over the real programs has connections that are used in quick succession, that send the end of a body late and that lie quiet until the host closes; no request that the host has read may stay without an answer.

The soak test sends signals in series to processes that drain, keeps connections open until the host closes them, and checks that each request that an undisturbed process has read is answered.

--- a/tests/cooperative/soak.py
+++ b/tests/cooperative/soak.py
@@ -4,16 +4,19 @@
 runs that many seeds, beginning with the given one. Faults come in series and overlap:
 processes are killed, frozen, terminated and restarted, disks of control hosts are
 emptied, links to workers are cut, silenced or made one-way, and workers fail, hang,
-slow down, lose replies or drain. Clients and operators keep sending requests over
-persistent connections. Faults are injected and guarantees are checked from outside the
-processes:
+slow down, lose replies or drain. Some stops are followed by a series of signals while
+the process drains. Clients and operators keep sending requests, some over connections
+that they use until the host closes them. Faults are injected and guarantees are checked
+from outside the processes:
 
 - no task runs twice at the same time, on the same or on different workers;
 - no task of a refused job runs;
 - every task of a job that is reported as completed has been done;
 - an acknowledged configuration is served everywhere in time, never reverts, and is read
   back at the end;
-- jobs are served again after the last fault.
+- jobs are served again after the last fault;
+- a request sent in full to a process that is neither killed nor frozen gets a complete
+  reply, unless the process ended before it read the request.
 """
 
 import argparse
@@ -25,6 +28,7 @@
 import trio
 
 from tests.cooperative.deployment import deployed
+from tests.cooperative.kept_connection import KeptConnection
 from tests.cooperative.worker import Worker
 from tests.faulty_proxy import Fault
 
@@ -37,7 +41,19 @@
 RECOVERY_TIMEOUT_S = 15.0
 TERMINATION_TIMEOUT_S = 6.0
 WORKER_FAULTS = ("fail", "hang", "slow", "lose", "drain", "cut", "silent", "one way")
-HOST_FAULTS = ("kill", "kill", "freeze", "term", "hup", "kill all controls", "wipe")
+HOST_FAULTS = (
+    "kill",
+    "kill",
+    "freeze",
+    "term",
+    "term and signals",
+    "hup",
+    "kill all controls",
+    "wipe",
+)
+KEPT_CONNECTIONS = 8
+SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
+SIGNAL_INTERVAL_S = (0.0, 0.8)
 
 
 class Register:
@@ -90,6 +106,9 @@
         self.answers = {}
         self.sent = None
         self.log = []
+        # Process ids that were killed or frozen.
+        self.disrupted = set()
+        self.unanswered = []
 
     def note(self, text):
         self.log.append(f"{trio.current_time() % 1000:8.2f} {text}")
@@ -98,6 +117,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.watch_leases)
             nursery.start_soon(self.load, nursery)
+            for _ in range(KEPT_CONNECTIONS):
+                nursery.start_soon(self.use_connections)
             nursery.start_soon(self.change_configurations)
             nursery.start_soon(self.faults, nursery)
             await trio.sleep(seconds)
@@ -130,6 +151,27 @@
                         f"PARTIAL {identifier} task {index}"
                     )
 
+    async def use_connections(self):
+        """Use one connection after another, each until the host closes it."""
+        while True:
+            machine = self.random.choice(self.deployment.entries)
+            process = machine.process
+            connection = KeptConnection(self.deployment, machine)
+            await connection.connect()
+            while connection.open:
+                pause_s = self.random.choice((0.0, 0.0, 0.1, 0.4))
+                identifier = await connection.submit(
+                    self.random.choice((1, 2)), pause_s
+                )
+                reply = connection.replies.get(identifier)
+                self.answers[identifier] = reply and (reply[0], {})
+                await trio.sleep(self.random.choice((0.0, 0.02, 0.3, 2.6)))
+            self.unanswered += [
+                (process, machine, job) for job in connection.unanswered
+            ]
+            await connection.close()
+            await trio.sleep(0.1)
+
     async def change_configurations(self):
         while True:
             await trio.sleep(self.random.uniform(1.0, 3.0))
@@ -194,11 +236,14 @@
                 await self.freeze(machine, duration_s)
             elif kind == "hup":
                 machine.process.send_signal(signal.SIGHUP)
+            elif kind == "term and signals":
+                await self.end_with_signals(machine, duration_s)
             else:
                 await self.end(machine, kind, duration_s)
 
     async def kill_all_controls(self, duration_s):
         for control in self.deployment.controls:
+            self.disrupted.add(control.process.pid)
             control.kill()
         await trio.sleep(duration_s)
         for control in self.deployment.controls:
@@ -206,6 +251,7 @@
 
     async def freeze(self, machine, duration_s):
         process = machine.process
+        self.disrupted.add(process.pid)
         process.send_signal(signal.SIGSTOP)
         await trio.sleep(duration_s)
         if process.poll() is None:
@@ -219,6 +265,8 @@
             with trio.move_on_after(TERMINATION_TIMEOUT_S):
                 while process.poll() is None:
                     await trio.sleep(0.05)
+        if process.poll() is None:
+            self.disrupted.add(process.pid)
         if kind == "wipe" and self.may_wipe(machine):
             machine.kill()
             for path in (self.deployment.folder / machine.name).iterdir():
@@ -227,6 +275,24 @@
         await trio.sleep(duration_s / 3)
         self.deployment.restart(machine)
 
+    async def end_with_signals(self, machine, duration_s):
+        """Terminate a process, and send it more signals while it drains."""
+        process = machine.process
+
+        async def send_signals():
+            for number in SIGNALS:
+                await trio.sleep(self.random.uniform(*SIGNAL_INTERVAL_S))
+                if process.poll() is None:
+                    process.send_signal(number)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_signals)
+            await self.end(machine, "term", duration_s)
+        if process.returncode != 0 and process.pid not in self.disrupted:
+            self.register.violations.append(
+                f"SIGNALS {machine.name} ended with {process.returncode}"
+            )
+
     def may_wipe(self, machine):
         """Return whether wiping this disk keeps within the tolerated disk losses."""
         others = [
@@ -280,6 +346,7 @@
             reply = await self.deployment.read(machine)
             if reply not in ((200, sent), None) and reply[0] != 503:
                 self.register.violations.append(f"CONFIG {machine.name} reads {reply}")
+        self.check_unanswered()
         for identifier, reply in self.answers.items():
             if (
                 reply is not None
@@ -288,6 +355,15 @@
             ):
                 self.register.violations.append(f"REFUSED {identifier} ran: {reply}")
 
+    def check_unanswered(self):
+        """Check that each request which an undisturbed process read was answered."""
+        for process, machine, identifier in self.unanswered:
+            was_read = identifier in self.register.started or (
+                identifier in machine.log()
+            )
+            if was_read and process.pid not in self.disrupted:
+                self.register.violations.append(f"LOST {identifier} at {machine.name}")
+
 
 async def run_seed(seed, seconds, folder):
     """Run one seed; return the violations, the log, and counts of status codes."""
--- a/tests/cooperative/test_programs.py
+++ b/tests/cooperative/test_programs.py
@@ -8,6 +8,7 @@
 import trio
 
 from tests.cooperative.deployment import CONTROL_PORT, PATIENCE_S, deployed
+from tests.cooperative.kept_connection import KeptConnection
 
 
 async def until_served(deployment, machine, prefix="/p/"):
@@ -302,3 +303,58 @@
             if changes and {voter.partition("/")[0] for voter in changes[-1]} == wanted:
                 return
         await trio.sleep(0.1)
+
+
+async def leave_open_until_it_stops(deployment, machine, connection, quiet_s):
+    """Use a connection once, leave it quiet, and then use it until it closes."""
+    await connection.connect()
+    await connection.submit()
+    await trio.sleep(quiet_s)
+    while connection.open:
+        await connection.submit()
+
+
+async def use_until_it_stops(deployment, machine, connections, pause_s):
+    """Send jobs in quick succession, over a new connection if one was closed."""
+    while machine.process.poll() is None:
+        connection = KeptConnection(deployment, machine)
+        await connection.connect()
+        if not connection.open:
+            return
+        connections.append(connection)
+        while connection.open:
+            await connection.submit(pause_s=pause_s)
+
+
+async def test_no_request_that_a_stopping_host_has_read_is_cut(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        stopping = deployment.entries[0]
+        quiet = [KeptConnection(deployment, stopping) for _ in range(40)]
+        used, uploads = [], []
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(use_until_it_stops, deployment, stopping, used, 0)
+            for pause_s in (0.05, 0.2, 0.45):
+                nursery.start_soon(
+                    use_until_it_stops, deployment, stopping, uploads, pause_s
+                )
+            for index, connection in enumerate(quiet):
+                nursery.start_soon(
+                    leave_open_until_it_stops,
+                    deployment,
+                    stopping,
+                    connection,
+                    2.4 + 0.05 * index,
+                )
+            await trio.sleep(0.5)
+            stopping.process.send_signal(signal.SIGTERM)
+        assert await until_ended(stopping) == (0, "host_stopped")
+        text = stopping.log()
+        ran = {name.split(".")[0] for name, _ in starts(deployment)}
+        connections = [*quiet, *used, *uploads]
+        unanswered = [job for each in connections for job in each.unanswered]
+        assert [job for job in unanswered if job in text or job in ran] == []
+        replies = [reply for each in connections for reply in each.replies.values()]
+        assert {status for status, _ in replies} <= {200, 503}
+        assert all("retry-after" in head for status, head in replies if status == 503)
+        print(len(replies), len(unanswered), [s for s, _ in replies].count(503))
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,7 @@
 """Tests of `HttpServer`: requests that arrive while it stops, and long ones."""
 
+import os
+
 import pytest
 import trio
 import trio.testing
@@ -196,3 +198,15 @@
     await stream.send_all(HEAD % 1 + b"bo")
     with trio.fail_after(PATIENCE_S):
         assert await stream.receive_some() == b""
+
+
+async def test_a_connection_that_its_client_closed_is_released_at_once(server):
+    before = len(os.listdir("/proc/self/fd"))
+    stream = await connect(server)
+    await stream.send_all(HEAD % 1 + b"body")
+    assert await reply_of(stream) is not None
+    await trio.testing.wait_all_tasks_blocked(0.05)
+    await stream.aclose()
+    with trio.fail_after(PATIENCE_S):
+        while len(os.listdir("/proc/self/fd")) > before:
+            await trio.sleep(0.01)
