Test journals on a disk that fails at any call, with losses of power

Random appends and replacements with ENOSPC, EDQUOT and EIO at writes, short writes, syncs, truncations, renames and new files, over restarts; a loss of power keeps any part of what wasn't synced, and a file whose sync failed stores nothing for good. With the mechanism broken in three ways (a sync repeated on the same file, remains of a failed write left, a rename whose folder isn't synced) the test fails.

--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,6 +1,8 @@
 """Journals after crashes, damage and disk errors."""
 
 import errno
+import os
+import random
 import threading
 
 import pytest
@@ -305,3 +307,137 @@
 async def test_an_empty_file_has_only_its_header(path):
     DiskJournal(path).close()
     assert path.stat().st_size == FILE_HEADER_BYTES
+
+
+class UnreliableDisk(SystemDisk):
+    """Fails at random, writes in parts, and knows what a loss of power leaves."""
+
+    def __init__(self, random, path, monkeypatch):
+        self._random, self._path = random, path
+        self._rename, self._truncate, self._open = os.rename, os.ftruncate, os.open
+        self.failure_share = 0.0
+        self._synced, self._written = {}, {}
+        self._synced_names = {}
+        self._uncertain = set()
+        monkeypatch.setattr("os.rename", self.rename)
+        monkeypatch.setattr("os.ftruncate", self.truncate)
+        monkeypatch.setattr("os.open", self.open)
+
+    def _may_fail(self):
+        if self._random.random() < self.failure_share:
+            numbers = [errno.ENOSPC, errno.EDQUOT, errno.EIO]
+            raise OSError(self._random.choice(numbers), "injected failure")
+
+    def _note(self, fd, contents):
+        file = os.fstat(fd)
+        contents[file.st_ino] = os.pread(fd, file.st_size, 0)
+
+    def open(self, path, flags, mode=0o777):
+        if not flags & os.O_CREAT:
+            return self._open(path, flags, mode)
+        self._may_fail()
+        fd = self._open(path, flags, mode)
+        # The number of a file that is gone is used again.
+        file = os.fstat(fd).st_ino
+        self._uncertain.discard(file)
+        self._synced.pop(file, None)
+        return fd
+
+    def rename(self, old, new):
+        self._may_fail()
+        self._rename(old, new)
+
+    def truncate(self, fd, length):
+        self._may_fail()
+        self._truncate(fd, length)
+        self._note(fd, self._written)
+
+    def write(self, fd, data):
+        part = data[: self._random.randrange(len(data) + 1)]
+        try:
+            self._may_fail()
+        except OSError:
+            super().write(fd, part)
+            self._note(fd, self._written)
+            raise
+        written = super().write(fd, part or data)
+        self._note(fd, self._written)
+        return written
+
+    def sync(self, fd):
+        """Store nothing of a file for good once a sync of it has failed."""
+        file = os.fstat(fd).st_ino
+        try:
+            self._may_fail()
+        except OSError:
+            self._uncertain.add(file)
+            raise
+        if os.path.isdir(f"/proc/self/fd/{fd}"):
+            self._synced_names = self._names()
+        elif file not in self._uncertain:
+            self._note(fd, self._synced)
+            self._note(fd, self._written)
+
+    def _names(self):
+        return {file.name: file.stat().st_ino for file in self._path.parent.iterdir()}
+
+    def lose_power(self):
+        """Leave each name and each write after its last sync, or don't."""
+        names = self._random.choice([self._names(), self._synced_names])
+        file = names.get(self._path.name)
+        synced, written = self._synced.get(file, b""), self._written.get(file, b"")
+        for found in list(self._path.parent.iterdir()):
+            found.unlink()
+        if file is not None and synced:
+            end = self._random.randrange(
+                len(synced), max(len(synced), len(written)) + 1
+            )
+            kept = self._random.choice([synced, written, written[:end]])
+            self._path.write_bytes(kept if len(kept) >= len(synced) else synced)
+            self._synced[self._path.stat().st_ino] = self._path.read_bytes()
+        self._uncertain.clear()
+        self._synced_names = self._names()
+
+
+async def append_at_random(random, journal, possible, number):
+    """Append or replace; return all contents that may be found after a crash."""
+    before = possible[0]
+    records = [b"%d" % number, bytes(random.randrange(1_500))]
+    try:
+        if random.random() < 0.25:
+            expected = records
+            journal.replace(records)
+        else:
+            expected = [*before, *records]
+            await journal.append(records)
+    except DiskUnavailable:
+        assert list(journal.read()) == before
+        return [*possible, expected]
+    assert list(journal.read()) == expected
+    return [expected]
+
+
+@pytest.mark.parametrize("loses_power", [False, True])
+async def test_nothing_synced_is_lost_by_a_disk_that_fails_at_any_call(
+    path, monkeypatch, loses_power
+):
+    """With short writes, before and after failed syncs, over restarts."""
+    for seed in range(120):
+        chance = random.Random(seed)
+        path.unlink(missing_ok=True)
+        disk = UnreliableDisk(chance, path, monkeypatch)
+        possible = [[]]
+        journal = DiskJournal(path, disk)
+        for number in range(25):
+            disk.failure_share = chance.choice([0.0, 0.0, 0.1, 0.4])
+            possible = await append_at_random(chance, journal, possible, number)
+            if chance.random() < 0.15:
+                disk.failure_share = 0.0
+                journal.close()
+                if loses_power:
+                    disk.lose_power()
+                journal = DiskJournal(path, disk)
+                assert list(journal.read()) in possible, seed
+                possible = [list(journal.read())]
+        journal.close()
+        monkeypatch.undo()
