Number the proposals of a member that joined again anew

The table of proposals closes the session of a member that is removed, so that no late proposal is applied after it has rejoined, and a session ended only with the member's process. A member whose session is closed now records a further start.

Proposals that wait at that time stay refused: they may have been applied before the removal, and mustn't be applied twice.

--- a/currantwell/proposals.py
+++ b/currantwell/proposals.py
@@ -1,6 +1,7 @@
 """Exactly-once application of proposals that may be sent several times.
 
-Each process of a member numbers its proposals. The replicated state keeps the results
+Each process of a member numbers its proposals, and counts as started again once the
+member has rejoined. The replicated state keeps the results
 of those that the proposer may still send again. A proposal of an earlier process, of a
 former member, or one that its proposer no longer waits for is not applied.
 """
@@ -112,6 +113,16 @@
         self._discard_results(session, proposal.oldest)
         return session.results[proposal.number]
 
+    def is_closed(self, member: MemberId, start: int) -> bool:
+        """Return whether a member was removed since a start of its process.
+
+        Its proposals of that start are obsolete, also after it has rejoined.
+        """
+        session = self._sessions.get(member)
+        if session is None or session.start != start:
+            return False
+        return session.oldest == _MAX_NUMBER
+
     def snapshot(self) -> bytes:
         """Return the state of the state machine with all sessions."""
         return _encoder.encode(_TableSnapshot(self._sessions, self.state.snapshot()))
--- a/currantwell/raft_agreement.py
+++ b/currantwell/raft_agreement.py
@@ -474,6 +474,7 @@
             self._complete_reads(output)
             self._update_leader()
             self._compact()
+            await self._renew_start()
 
     async def _save(self, output: Output, nursery: trio.Nursery) -> None:
         def drop_requests() -> None:
@@ -482,6 +483,11 @@
 
         await self._write(lambda: self._storage.save(output), drop_requests)
 
+    async def _renew_start(self) -> None:
+        """Count as started again once this member was removed; see `ProposalTable`."""
+        if self._table.is_closed(self.member, self._storage.start_count):
+            await self._write(lambda: self._storage.record_start(self.member))
+
     def _apply_all(self, output: Output) -> None:
         if output.snapshot is not None:
             snapshot = output.snapshot
--- a/tests/test_proposals.py
+++ b/tests/test_proposals.py
@@ -62,6 +62,20 @@
     assert offer(table, b"z", 1, start=2) == b"2"
 
 
+def test_only_a_start_before_a_removal_is_closed():
+    table = table_of(MEMBER)
+    assert not table.is_closed(MEMBER, 1)
+    offer(table, b"x", 1)
+    assert not table.is_closed(MEMBER, 1)
+    table.set_membership(Membership())
+    table.set_membership(Membership((MEMBER,)))
+    assert table.is_closed(MEMBER, 1)
+    assert offer(table, b"y", 2) is None
+    assert not table.is_closed(MEMBER, 2)
+    assert offer(table, b"y", 1, start=2) == b"2"
+    assert not table.is_closed(MEMBER, 2)
+
+
 def test_results_are_kept_only_while_someone_may_ask():
     table = table_of(MEMBER)
     for number in range(1, 500):
