Run a job in one part without a task of its own

The part now runs in the task of the job, in a scope that its end may cancel as before; jobs in several parts are as they were.

The new test counts the steps of a job: three before, one now.

--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -264,6 +264,11 @@
             return JobNotRun("no dispatcher is reached", RETRY_AFTER_S)
         self._parts = len(parts)
         self._router.log_routing(self._order, parts)
+        if len(parts) == 1:
+            # Most jobs are; a task of its own would cost more than it does.
+            with trio.CancelScope() as scope:
+                await self._run_part(parts[0], scope)
+            return self._outcome or JobDone()
         async with trio.open_nursery() as nursery:
             for part in parts:
                 nursery.start_soon(self._run_part, part, nursery.cancel_scope)
--- a/tests/fleet/test_job_router.py
+++ b/tests/fleet/test_job_router.py
@@ -17,6 +17,7 @@
 from currantwell.fleet.messages import CapacityReport, JobEnded
 from currantwell.ids import DataCentre, Epoch, Team
 from currantwell.submission import TaskSpec
+from tests.step_counter import StepCounter
 
 HOME, AWAY = (EndpointGroup(DataCentre(n)) for n in ("valdres", "hallingdal"))
 
@@ -182,3 +183,13 @@
     outcome = await run(links)
     assert isinstance(outcome, JobDone if starts_after_s < 0.6 else JobNotRun)
     nursery.cancel_scope.cancel()
+
+
+async def test_a_job_in_one_part_takes_no_task_of_its_own(autojump_clock):
+    links = Links(valdres=4)
+    counter = StepCounter()
+    trio.lowlevel.add_instrument(counter)
+    assert await run(links) == JobDone()
+    trio.lowlevel.remove_instrument(counter)
+    # One step for the reply of the dispatcher.
+    assert sum(counter.steps.values()) == 1
