Let the garbage collector wait for the imports

Imports create objects that stay, and the collector, which runs by their number, searched them 87 times at each start for garbage that isn't there.

--- a/tests/cooperative/test_imports.py
+++ b/tests/cooperative/test_imports.py
@@ -1,5 +1,6 @@
 """The programs import only what they use, since each start pays for its imports."""
 
+import os
 import subprocess
 import sys
 from pathlib import Path
@@ -31,3 +32,33 @@
 )
 def test_a_program_imports_only_its_own_parts(program, unused):
     assert not modules_of(f"cooperative.{program}_program") & unused
+
+
+# Runs a program until it finds no settings, then tells whether the collector is on.
+COUNT_COLLECTIONS = """
+import gc, runpy, sys
+from contextlib import suppress
+collections = []
+gc.callbacks.append(lambda phase, info: collections.append(phase))
+sys.argv = ["run.py", sys.argv[1]]
+sys.path.insert(0, "platform")
+with suppress(Exception):
+    runpy.run_path("platform/run.py", run_name="__main__")
+print(len(collections), gc.isenabled())
+"""
+
+
+@pytest.mark.parametrize("program", ["entry", "control"])
+def test_the_garbage_collector_waits_for_the_imports(program, tmp_path):
+    finished = subprocess.run(
+        [sys.executable, "-c", COUNT_COLLECTIONS, program],
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=ROOT,
+        env={**os.environ, "CURRANTWELL_SETTINGS": str(tmp_path / "missing")},
+    )
+    collections, enabled = finished.stdout.split()
+    # `runpy` itself causes a few.
+    assert int(collections) < 20
+    assert enabled == "True"
