End the drain of an entry host within its grace time

A host that was told to stop accepted requests until it was killed, and these were cut without an answer, if a job of its own dispatcher lasted.

Cause: the drain waited for the dispatcher without a limit before it looked at the time, and the limits of the drain, of the kernel and of the server were each a whole grace time, one after the other.

What is still in progress then is logged (106, drain_expired), and host_stopped is written before the kill.

--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -96,6 +96,12 @@
     "The host ends by unexpected errors; without this event and host_stopped, the "
     "process was killed.",
 )
+DRAIN_EXPIRED = _event(
+    106,
+    "drain_expired",
+    Level.WARNING,
+    "The host stops though jobs are in progress, since its time to stop runs out.",
+)
 ENDPOINT_REGISTERED = _event(
     200,
     "endpoint_registered",
--- a/tests/cooperative/deployment.py
+++ b/tests/cooperative/deployment.py
@@ -24,6 +24,7 @@
 TRAFFIC_PORT, READY_PORT, CONTROL_PORT, INTERNAL_PORT = 8161, 8167, 8166, 7720
 HEARTBEAT_S = 0.5
 PATIENCE_S = 20.0
+GRACE_S = 6.0
 # Each deployment of a test run uses its own network.
 _networks = iter(range(1 + os.getpid() % 200, 10_000))
 
@@ -101,7 +102,7 @@
             f"seeds={seeds}",
             f"bootstrap={'true' if first else 'false'}",
             "bounds.hold_max_ms=1000",
-            "bounds.grace_s=6",
+            f"bounds.grace_s={GRACE_S}",
         ]
         if machine.program == "entry":
             lines.append(f"listen.frontend={machine.ip}:{TRAFFIC_PORT}")
@@ -227,14 +228,16 @@
                         await stream.aclose()
                         break
 
-    async def submit(self, machine, tasks=2, identifier=None, prefix="/p/"):
+    async def submit(
+        self, machine, tasks=2, identifier=None, prefix="/p/", timeout_s=2.0
+    ):
         """Submit a best-effort job; return its id and the reply as `call` does."""
         self.jobs += 1
         identifier = identifier or f"{self.jobs:016x}"
         step = {"count": tasks, "cpu_millicores": 2000, "estimated_ms": 50}
         body = {"task_spec": "text", "best_effort": True, "steps": [step]}
         url = f"http://{machine.ip}:{TRAFFIC_PORT}{prefix}{identifier}"
-        return identifier, await self.call("POST", url, body)
+        return identifier, await self.call("POST", url, body, timeout_s=timeout_s)
 
     def owner(self, zone):
         """Return the running entry host whose log says that it dispatches to a zone."""
--- a/tests/cooperative/test_programs.py
+++ b/tests/cooperative/test_programs.py
@@ -7,7 +7,12 @@
 import pytest
 import trio
 
-from tests.cooperative.deployment import CONTROL_PORT, PATIENCE_S, deployed
+from tests.cooperative.deployment import (
+    CONTROL_PORT,
+    GRACE_S,
+    PATIENCE_S,
+    deployed,
+)
 from tests.cooperative.kept_connection import KeptConnection
 
 
@@ -191,6 +196,40 @@
         ]
 
 
+async def test_a_host_that_drains_beside_a_long_job_ends_before_it_is_killed(tmp_path):
+    # It accepted requests until the end of its grace time, and was killed with them.
+    async with deployed(tmp_path) as deployment:
+        await deployment.put(5, timeout_ms=20_000, target_duration_ms=9_000)
+        for machine in deployment.entries:
+            await until_served(deployment, machine, "/p/")
+        for worker in deployment.workers:
+            worker.task_s = 10.0
+        stopping = deployment.owner("valdres")
+        replies = []
+
+        async def submit(sent_s):
+            reply = await deployment.submit(stopping, 1, timeout_s=2 * GRACE_S)
+            replies.append((sent_s, reply[1]))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(2):
+                nursery.start_soon(submit, 0.0)
+            await trio.sleep(0.6)
+            for worker in deployment.workers:
+                worker.task_s = 0.3
+            stopping.process.send_signal(signal.SIGTERM)
+            started_s = trio.current_time()
+            while stopping.process.poll() is None:
+                sent_s = trio.current_time() - started_s
+                assert sent_s < GRACE_S
+                nursery.start_soon(submit, sent_s)
+                await trio.sleep(0.25)
+        assert (await until_ended(stopping))[1] == "host_stopped"
+        assert "drain_expired" in stopping.log()
+        late = [reply for sent_s, reply in replies if sent_s > 0.7 * GRACE_S]
+        assert all(reply is None or reply[0] == 503 for reply in late)
+
+
 async def until_importing(machine):
     """Wait until a process imports its libraries."""
     maps = Path(f"/proc/{machine.process.pid}/maps")
