Answer requests that are under way as a host stops listening

Connections in the backlog of a listener were reset when it was closed, and an idle connection was closed though a request was under way.

The server now takes all connections from the backlog before it stops listening, and closes idle connections 0.1 s later, so that a request that was sent before the client could know is answered, with Connection: close.

The soak test stops processes with signals in series more often.

--- a/currantwell/http_server.py
+++ b/currantwell/http_server.py
@@ -1,12 +1,13 @@
 """Serves an ASGI application with Hypercorn's protocols in the current Trio run.
 
-Invariant: a request whose bytes were read from a connection gets its reply before that
-connection is closed, unless the client stops sending or the time to stop runs out.
+Invariant: a request that has reached the host gets its reply before its connection is
+closed, unless the client stops sending or the time to stop runs out.
 """
 
 import math
 import socket
 from collections.abc import Awaitable, Callable, MutableMapping
+from contextlib import suppress
 from functools import partial
 from typing import Any
 
@@ -31,6 +32,8 @@
 KEEP_ALIVE_S = 60.0
 READ_TIMEOUT_S = 30
 BACKLOG = 256
+# Longer than a request is under way from a client to the host.
+LINGER_S = 0.1
 
 
 def bind(address: str, port: int) -> socket.socket:
@@ -96,8 +99,9 @@
         for listener in self._listeners:
             listener.listen(BACKLOG)
             listener.setblocking(False)
-            stream = trio.socket.from_stdlib_socket(listener)
-            listeners.append(trio.SocketListener(stream))
+            # Accepting ends by closing its socket; the backlog outlives that here.
+            accepting_socket = trio.socket.from_stdlib_socket(listener.dup())
+            listeners.append(trio.SocketListener(accepting_socket))
         async with trio.open_nursery() as connections:
             async with trio.open_nursery() as accepting:
                 await accepting.start(
@@ -111,6 +115,8 @@
                 task_status.started()
                 await self._stop_requested.wait()
                 accepting.cancel_scope.cancel()
+            for stream in self._take_backlog():
+                connections.start_soon(self._serve_connection, stream)
             connections.cancel_scope.deadline = trio.current_time() + self._graceful_s
             await self._context.terminated.set()
         self._stopped.set()
@@ -125,6 +131,17 @@
         self._stop_requested.set()
         await self._stopped.wait()
 
+    def _take_backlog(self) -> list[trio.SocketStream]:
+        """Return the connections not yet accepted, and stop listening."""
+        streams = []
+        for listener in self._listeners:
+            with listener, suppress(BlockingIOError):
+                while True:
+                    accepted, _ = listener.accept()
+                    accepted_socket = trio.socket.from_stdlib_socket(accepted)
+                    streams.append(trio.SocketStream(accepted_socket))
+        return streams
+
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         state = ConnectionState(LifespanState())
         app = ASGIWrapper(self._reply)  # type: ignore[arg-type]
@@ -204,6 +221,7 @@
     async def _idle_timeout(self) -> None:
         with trio.move_on_after(self.config.keep_alive_timeout):
             await self.context.terminated.wait()
+            await trio.sleep(LINGER_S)
         self._closing = True
         if self._idle and self._receiving is not None:
             self._receiving.cancel()
--- a/tests/cooperative/soak.py
+++ b/tests/cooperative/soak.py
@@ -46,7 +46,7 @@
     "kill",
     "freeze",
     "term",
-    "term and signals",
+    *("term and signals",) * 4,
     "hup",
     "kill all controls",
     "wipe",
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,6 +1,7 @@
 """Tests of `HttpServer`: requests that arrive while it stops, and long ones."""
 
 import os
+import socket
 
 import pytest
 import trio
@@ -121,6 +122,29 @@
             assert await read_and_unanswered(turns, drain_first) == []
 
 
+async def test_a_request_under_way_as_the_server_closes_is_answered(server):
+    stream = await connect(server)
+    await trio.testing.wait_all_tasks_blocked(0.05)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.drain)
+        await trio.sleep(http_server.LINGER_S / 4)
+        await stream.send_all(HEAD % 1 + b"body")
+        assert await reply_of(stream) is not None
+
+
+async def test_connections_not_accepted_as_the_server_closes_are_answered(server):
+    clients = [socket.create_connection(server.address) for _ in range(20)]
+    for client in clients:
+        client.sendall(HEAD % 1 + b"body")
+    with trio.fail_after(PATIENCE_S):
+        await server.drain()
+    for client in clients:
+        with client:
+            assert client.recv(1000).endswith(b"body")
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(server.address)
+
+
 async def test_a_body_whose_end_arrives_as_the_server_closes_is_answered(server):
     stream, idle = await connect(server), await connect(server)
     await stream.send_all(HEAD % 1 + b"bo")
