--- a/currantwell/http_connection.py
+++ b/currantwell/http_connection.py
@@ -53,7 +53,7 @@
         stream: trio.SocketStream,
     ) -> None:
         self._idle = True
-        self._closing = context.terminated.is_set()
+        self._closing = False
         self._receiving: trio.CancelScope | None = None
         self._app = app
         self._config = config
--- a/currantwell/http_server.py
+++ b/currantwell/http_server.py
@@ -1,7 +1,12 @@
-"""Serves an ASGI application with Hypercorn in the current Trio run."""
+"""Serves an ASGI application with Hypercorn in the current Trio run.
+
+Invariant: a request that has reached the host gets its reply before its connection is
+closed, unless the client stops sending or the time to stop runs out.
+"""
 
 import socket
 from collections.abc import Awaitable, Callable, MutableMapping
+from contextlib import suppress
 from functools import partial
 from typing import Any
 
@@ -22,6 +27,8 @@
 
 READ_TIMEOUT_S = 30
 BACKLOG = 256
+# Longer than a request is under way from a client to the host.
+LINGER_S = 0.1
 
 
 def bind(address: str, port: int) -> socket.socket:
@@ -102,8 +109,10 @@
         async with trio.open_nursery() as connections:
             for listener in self._listeners:
                 listener.listen(BACKLOG)
+                listener.setblocking(False)
+            # Accepting ends by closing its socket; the backlog outlives that here.
             listeners = [
-                trio.SocketListener(trio.socket.from_stdlib_socket(listener))
+                trio.SocketListener(trio.socket.from_stdlib_socket(listener.dup()))
                 for listener in self._listeners
             ]
             try:
@@ -122,9 +131,23 @@
             finally:
                 await self._context.terminated.set()
                 connections.cancel_scope.deadline = now_s() + self._graceful_s
+                for stream in self._take_backlog():
+                    connections.start_soon(self._serve_connection, stream)
+            await trio.sleep(LINGER_S)
             for connection in self._connections:
                 connection.close_when_idle()
 
+    def _take_backlog(self) -> list[trio.SocketStream]:
+        """Return the connections not yet accepted, and stop listening."""
+        streams = []
+        for listener in self._listeners:
+            with listener, suppress(BlockingIOError):
+                while True:
+                    accepted, _ = listener.accept()
+                    accepted_socket = trio.socket.from_stdlib_socket(accepted)
+                    streams.append(trio.SocketStream(accepted_socket))
+        return streams
+
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         connection = HttpConnection(self._reply, self._config, self._context, stream)
         self._connections.add(connection)
