--- a/currantwell/copy_store.py
+++ b/currantwell/copy_store.py
@@ -10,6 +10,7 @@
 import msgspec
 import trio
 
+from . import events
 from .copy_messages import (
     AppendRecords,
     CopyChange,
@@ -20,7 +21,7 @@
     StoreCreated,
     Vouch,
 )
-from .errors import Deposed
+from .errors import Deposed, DiskUnavailable
 from .ids import DataCentre, Epoch, StoreId
 from .job_copy import Decision, JobCopy
 from .journal import Journal
@@ -28,6 +29,8 @@
 __all__ = ["CopyStore", "CopyStores"]
 
 COMPACT_AFTER_RECORDS = 50_000
+# Compaction is tried again after this part of the records, as the snapshot is costly.
+COMPACT_RETRY_PARTS = 10
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[CopyChange] = msgspec.msgpack.Decoder(CopyChange)
@@ -121,7 +124,7 @@
         """Replace a journal that has grown by a snapshot; return whether it did.
 
         The snapshot is encoded in small steps while changes continue; those are also
-        appended to the end of the new journal.
+        appended to the end of the new journal. Without room for it the journal is kept.
         """
         if (
             self._concurrent_changes is not None
@@ -142,6 +145,11 @@
                         return False
                     records = [*snapshot, *concurrent_changes]
                     await trio.to_thread.run_sync(self._journal.replace, records)
+        except DiskUnavailable as error:
+            events.COMPACTION_FAILED.log(store=self.copy.store, error=str(error))
+            more_records = max(1, self._compact_after // COMPACT_RETRY_PARTS)
+            self._compact_at = self._records_since_snapshot + more_records
+            return False
         finally:
             self._concurrent_changes = None
             self.copy.frozen = False
