Archive audit entries later in place of ending the host

The loop that archives ended the whole host at the first entry that found no room, although the entry is agreed and stays in the window of the state. It is repeated each second, event 405. The new test fails on the code before: DiskUnavailable ends the control service.

--- a/currantwell/control.py
+++ b/currantwell/control.py
@@ -21,7 +21,7 @@
 )
 from .clock import CalendarClock, now_s
 from .codes import ResultCode
-from .errors import AgreementLost, PeerUnreachable
+from .errors import AgreementLost, DiskUnavailable, PeerUnreachable
 from .ids import DataCentre, EndpointId, HostId, Team
 from .kernel import ServiceName
 from .leader_service import LeaderService, Renew, Renewed
@@ -45,6 +45,7 @@
 RENEW_TIMEOUT_S = READ_BARRIER_INTERVAL_S + READ_BARRIER_TIMEOUT_S
 RETRY_S = 0.1
 REGISTER_CHECK_S = 5.0
+ARCHIVE_RETRY_S = 1.0
 
 
 class Control:
@@ -275,5 +276,19 @@
     async def _archive_loop(self) -> None:
         while True:
             changed = self._changed
-            await self.archive.append_new(self.state.audit)
+            await self._archive()
             await changed.wait()
+
+    async def _archive(self) -> None:
+        """Archive new entries; without room, repeat it until there is some."""
+        failing = False
+        while True:
+            try:
+                await self.archive.append_new(self.state.audit)
+            except DiskUnavailable as error:
+                if not failing:
+                    events.ARCHIVE_FAILED.log(host=self.host, error=str(error))
+                failing = True
+                await trio.sleep(ARCHIVE_RETRY_S)
+            else:
+                return
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -136,6 +136,13 @@
     Level.WARNING,
     "There was no room to compact a journal; it is kept, and compacted later.",
 )
+ARCHIVE_FAILED = _event(
+    405,
+    "archive_failed",
+    Level.WARNING,
+    "There was no room for audit entries in the archive; they are kept, and archived "
+    "later.",
+)
 PRIMARY_STARTED = _event(
     700,
     "primary_started",
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -6,7 +6,7 @@
 
 from currantwell.changes import DrainEndpoint, SetQuota
 from currantwell.codes import ResultCode
-from currantwell.errors import AgreementLost
+from currantwell.errors import AgreementLost, DiskUnavailable
 from currantwell.quotas import Quota
 from currantwell.views import View
 from tests.builders import FakeCluster, change, set_preset
@@ -121,6 +121,24 @@
         assert node.control.archive.last == node.state.audit.head.number
 
 
+async def test_a_host_that_has_no_room_for_its_archive_lives_on(
+    cluster, autojump_clock, monkeypatch
+):
+    """Else it would end for a record that it can archive later."""
+    node = cluster.nodes["h-1"]
+    with monkeypatch.context() as patch:
+        patch.setattr(node.control.archive._journal, "append", find_no_room)
+        await node.control.change(SetQuota(change(1, "q-1"), "crew", Quota(3.0, 7)))
+        await trio.sleep(5.0)
+        assert node.control.archive.last < node.state.audit.head.number
+    await trio.sleep(2.0)
+    assert node.control.archive.last == node.state.audit.head.number
+
+
+async def find_no_room(records):
+    raise DiskUnavailable("injected failure")
+
+
 async def test_a_single_host_serves_its_data_centre(nursery, autojump_clock):
     cluster = FakeCluster(["h-1"])
     await nursery.start(cluster.run)
