Test full disks beside stalled and killed voters, and on a host that is added

Two of five voters without a usable disk, one of them the leader's; a host whose disk fills up while it joins; all hosts killed while disks are full. No fault was found by these.

--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -1,5 +1,6 @@
 """The Raft agreement over loopback connections, with all hosts in one process."""
 
+import threading
 from contextlib import asynccontextmanager, suppress
 
 import pytest
@@ -138,12 +139,25 @@
         await cluster.running[successor].agreement.propose(b"after")
 
 
+class StallingDisk(FillableDisk):
+    """Also answers no sync while `may_sync` is cleared."""
+
+    def __init__(self):
+        super().__init__()
+        self.may_sync = threading.Event()
+        self.may_sync.set()
+
+    def sync(self, fd):
+        self.may_sync.wait(30)
+        super().sync(fd)
+
+
 class FullDisks:
     """The disks of a cluster's hosts, with journals in a folder of each host."""
 
     def __init__(self, cluster, folder):
         self._folder = folder
-        self.disks = {name: FillableDisk() for name in cluster.hosts}
+        self.disks = {name: StallingDisk() for name in cluster.hosts}
         for name in cluster.hosts:
             self.open(cluster, name)
 
@@ -365,3 +379,75 @@
         for run in list(cluster.running.values()):
             await run.agreement.propose(b"after")
             assert "after" in run.state.commands
+
+
+@pytest.mark.parametrize("second", ["full", "stalled", "killed"])
+async def test_changes_go_on_while_two_of_five_voters_have_no_usable_disk(
+    tmp_path, second
+):
+    async with cluster_on_disks(tmp_path, 6, voters=5) as (cluster, disks):
+        leader = await cluster.leader()
+        other = next(name for name in cluster.voters if name != leader.host)
+        disks.disks[leader.host].room_bytes = 7
+        if second == "full":
+            disks.disks[other].room_bytes = 0
+        elif second == "stalled":
+            disks.disks[other].may_sync.clear()
+        else:
+            await cluster.kill(other)
+            disks.disks[other].room_bytes = 0
+            disks.open(cluster, other)
+        async with trio.open_nursery() as nursery:
+            if second == "killed":
+                nursery.start_soon(cluster.start, other)
+            for number in range(4):
+                await change_as_operator(cluster, str(number))
+            for disk in disks.disks.values():
+                disk.room_bytes = None
+                disk.may_sync.set()
+        for run in list(cluster.running.values()):
+            with trio.fail_after(ACKNOWLEDGE_TIMEOUT_S):
+                await change_at(run, f"at {run.host}")
+            assert {"0", "1", "2", "3"} <= set(run.state.commands)
+        assert len(cluster.running) == 6
+
+
+async def test_a_host_whose_disk_fills_up_while_it_is_added_joins_later(tmp_path):
+    options = {"voters": 3, "timing": RaftTiming(nonvoter_heartbeat_s=0.2)}
+    async with cluster_on_disks(tmp_path, 4, **options) as (cluster, disks):
+        name = cluster.hosts[-1]
+        await cluster.kill(name)
+        (tmp_path / f"{name}.journal").unlink()
+        disks.open(cluster, name)
+        added = await cluster.start(name)
+        disks.disks[name].room_bytes = 7
+        for number in range(4):
+            await change_as_operator(cluster, str(number))
+        assert added.state.commands == []
+        disks.disks[name].room_bytes = None
+        with trio.fail_after(ACKNOWLEDGE_TIMEOUT_S):
+            await change_at(added, "after")
+        assert {"0", "1", "2", "3"} <= set(added.state.commands)
+
+
+async def test_nothing_acknowledged_is_lost_if_all_are_killed_while_disks_are_full(
+    tmp_path,
+):
+    """Also what was acknowledged by others while the leader had no room."""
+    async with cluster_on_disks(tmp_path, snapshot_every=5) as (cluster, disks):
+        acknowledged = []
+        for number in range(12):
+            leader = await cluster.leader()
+            disks.disks[leader.host].room_bytes = number % 3 * 5
+            await change_as_operator(cluster, str(number))
+            acknowledged.append(str(number))
+            if number % 4 == 3:
+                for name in cluster.hosts:
+                    await cluster.kill(name)
+                    disks.disks[name].room_bytes = None
+                    disks.open(cluster, name)
+                await cluster.start_all()
+            disks.disks[leader.host].room_bytes = None
+        for run in cluster.running.values():
+            await change_at(run, "after")
+            assert set(acknowledged) <= set(run.state.commands)
