Walk through voters that are replaced while their disks are full and join again

Seven members, five voters, 30 seeds of random steps; over 30 replacements, and the member joins again under its own id, with or without a vote.

--- a/tests/members.py
+++ b/tests/members.py
@@ -223,6 +223,15 @@
                 self.nodes[chosen].disk_full = True
                 self.random.choices(self._steps, self._weights)[0](self)
 
+    def keep_five_voters(self, steps):
+        """Take random steps, while leaders replace voters that are unresponsive."""
+        for _ in range(steps):
+            self.random.choices(self._steps, self._weights)[0](self)
+            self.settle(0.1)
+            leader = self.leader()
+            if leader is not None:
+                leader.core.replace_unresponsive_voters(5, timeout_s=1.0)
+
     def take_random_steps(self, seed, steps):
         """Take random steps of members and network, during one kind of failure."""
         self.random.seed(seed)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -210,6 +210,30 @@
         cluster.check_recovers()
 
 
+def test_nothing_is_lost_when_voters_with_full_disks_are_replaced_and_join_again():
+    replaced = 0
+    for seed in range(30):
+        cluster = SimulatedCluster(7, seed=seed, voters=5)
+        cluster.settle(1.0)
+        for host in cluster.hosts[5:]:
+            cluster.join(host, votes=False)
+            cluster.settle(1.0)
+        for host in cluster.random.sample(cluster.hosts, 5):
+            member = cluster.nodes[host].id
+            cluster.propose_to_leaders()
+            cluster.nodes[host].disk_full = True
+            cluster.keep_five_voters(steps=60)
+            leader = cluster.leader()
+            if leader and member not in leader.core.membership.members:
+                replaced += 1
+            cluster.nodes[host].disk_full = False
+            for _ in range(20):
+                cluster.join(host, votes=cluster.random.random() < 0.3)
+                cluster.settle(0.2)
+        cluster.check_recovers()
+    assert replaced > 30
+
+
 def test_the_same_walks_find_no_fault_in_the_right_one():
     for seed in range(WALKS // 4):
         walk(Agreement, seed)
