Pass on heartbeats while the disk of a control host stalls

The loop that passes on heartbeats and removes unresponsive endpoints also saved the registry, and waited for the disk. While that stalled, other hosts didn't hear of endpoints that send their heartbeats to this host, and remove them after 6 s. Saving has a loop of its own. The first test fails on the code before: no heartbeat is passed on in 6 s.

--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -112,6 +112,7 @@
             await nursery.start(serve)
             nursery.start_soon(self._leader_loop, nursery)
             nursery.start_soon(self._cleanup_loop)
+            nursery.start_soon(self._save_loop)
             nursery.start_soon(self._send_state_loop)
             nursery.start_soon(self._send_updates_loop)
             task_status.started()
@@ -362,7 +363,7 @@
         )
 
     async def _cleanup_loop(self) -> None:
-        """Pass on heartbeats, save the registry and remove unresponsive endpoints."""
+        """Pass on heartbeats and remove unresponsive endpoints."""
         sent_s = now_s()
         while True:
             await trio.sleep(CLEANUP_INTERVAL_S)
@@ -370,9 +371,14 @@
                 sent_s = now_s()
                 self._broadcast(EndpointHeartbeats(tuple(self._heartbeats)))
                 self._heartbeats.clear()
+            for endpoint in self._registry.remove_unresponsive(now_s()):
+                events.ENDPOINT_UNRESPONSIVE.log(endpoint=endpoint)
+
+    async def _save_loop(self) -> None:
+        """Save the registry when it has changed; waits for the disk."""
+        while True:
+            await trio.sleep(CLEANUP_INTERVAL_S)
             if self._registry_changed:
                 self._registry_changed = False
                 if not await self._registry.save():
                     self._registry_changed = True
-            for endpoint in self._registry.remove_unresponsive(now_s()):
-                events.ENDPOINT_UNRESPONSIVE.log(endpoint=endpoint)
--- /dev/null
+++ b/tests/fleet/test_control_service.py
@@ -0,0 +1,89 @@
+"""The control service passes on what it knows, whatever its disk does."""
+
+import pytest
+import trio
+
+from currantwell.agreement import LocalAgreement
+from currantwell.fleet.channel import encode
+from currantwell.fleet.control_service import ControlService
+from currantwell.fleet.endpoint_registry import FORGET_AFTER_S, MemoryHintStore
+from currantwell.fleet.fleet_state import FleetState
+from currantwell.fleet.messages import EndpointHeartbeats
+from currantwell.fleet.ownership import OwnershipRule
+from tests.fleet.builders import a_hello, a_report
+
+
+class StallingHintStore(MemoryHintStore):
+    """Saves nothing before `may_save` is set, and fails a number of times then."""
+
+    def __init__(self, failures=0):
+        super().__init__()
+        self.may_save = trio.Event()
+        self.saved = 0
+        self._failures = failures
+
+    async def save(self, data):
+        await self.may_save.wait()
+        self._failures -= 1
+        if self._failures >= 0:
+            return False
+        self.saved += 1
+        return await super().save(data)
+
+
+class RecordingChannel:
+    """Keeps what is sent to another host."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send_encoded(self, body):
+        self.sent.append(body)
+
+
+def a_service(hint):
+    hello = a_hello(dispatches=False)
+    state = FleetState()
+    agreement = LocalAgreement(hello.host, state)
+    rule = OwnershipRule(("valdres",))
+    service = ControlService(hello, [], state, agreement, rule, hint)
+    channel = RecordingChannel()
+    service._channels[channel] = None
+    return service, channel
+
+
+async def test_heartbeats_are_passed_on_while_a_disk_stalls(nursery, autojump_clock):
+    """Else other hosts remove the endpoints that send theirs to this host only."""
+    hint = StallingHintStore()
+    service, channel = a_service(hint)
+    nursery.start_soon(service._cleanup_loop)
+    nursery.start_soon(service._save_loop)
+    heartbeats = encode(EndpointHeartbeats(("e1",)))
+    sequence = 0
+    for _ in range(2):
+        channel.sent.clear()
+        for _ in range(int(FORGET_AFTER_S)):
+            sequence += 1
+            service.heartbeat(a_report(sequence=sequence))
+            await trio.sleep(1.0)
+        assert channel.sent.count(heartbeats) > 1
+    hint.may_save.set()
+    await trio.sleep(3.0)
+    assert hint.saved == 1
+
+
+@pytest.mark.parametrize("failures", [1, 3])
+async def test_endpoints_are_saved_again_until_that_works(
+    nursery, autojump_clock, failures
+):
+    hint = StallingHintStore(failures)
+    hint.may_save.set()
+    service, _ = a_service(hint)
+    nursery.start_soon(service._cleanup_loop)
+    nursery.start_soon(service._save_loop)
+    service.heartbeat(a_report())
+    await trio.sleep(failures + 2.5)
+    assert hint.saved == 1
+    service.heartbeat(a_report(sequence=2, draining=True))
+    await trio.sleep(2.5)
+    assert hint.saved == 2
