--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -96,6 +96,12 @@
     "The host ends by unexpected errors; without this event and host_stopped, the "
     "process was killed.",
 )
+DRAIN_EXPIRED = _event(
+    106,
+    "drain_expired",
+    Level.WARNING,
+    "The host stops though jobs are in progress, since its time to stop runs out.",
+)
 ENDPOINT_REGISTERED = _event(
     200,
     "endpoint_registered",
@@ -136,6 +142,13 @@
     Level.WARNING,
     "There was no room to compact a journal; it is kept, and compacted later.",
 )
+ARCHIVE_FAILED = _event(
+    405,
+    "archive_failed",
+    Level.WARNING,
+    "There was no room for audit entries in the archive; they are kept, and archived "
+    "later.",
+)
 PRIMARY_STARTED = _event(
     700,
     "primary_started",
