Close no connection whose last reply did not say so

A caller that sent requests in quick succession to a host that was told to stop found its connection closed after a reply without Connection: close, and had its next request cut. The head of that reply was sent before the server was told to stop, its end after; Hypercorn closes the connection after each reply from then on. It is no longer told: the connection stays, and the next reply says that it closes.

The connection of the tests serves all kinds of hosts now.

--- a/currantwell/http_server.py
+++ b/currantwell/http_server.py
@@ -86,6 +86,9 @@
         self._stop_requested = trio.Event()
         self._stopped = trio.Event()
         self._graceful_s = graceful_s
+        self._close_idle = trio.Event()
+        # Never terminated: Hypercorn would close connections after replies that did not
+        # say so, and cut the next request.
         self._context = WorkerContext(None)
         self._config = Config()
         self._config.keep_alive_timeout = KEEP_ALIVE_S
@@ -118,7 +121,7 @@
             for stream in self._take_backlog():
                 connections.start_soon(self._serve_connection, stream)
             connections.cancel_scope.deadline = trio.current_time() + self._graceful_s
-            await self._context.terminated.set()
+            self._close_idle.set()
         self._stopped.set()
 
     def announce_stop(self) -> None:
@@ -145,13 +148,15 @@
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         state = ConnectionState(LifespanState())
         app = ASGIWrapper(self._reply)  # type: ignore[arg-type]
-        await _Connection(
+        connection = _Connection(
             app,
             self._config,
             self._context,
             state,
             stream,  # type: ignore[arg-type]
-        ).run()
+        )
+        connection.close_idle = self._close_idle
+        await connection.run()
 
     async def _reply(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Have the application reply to one request, which is counted meanwhile."""
@@ -177,6 +182,7 @@
     only if it has read nothing.
     """
 
+    close_idle: trio.Event
     _idle = True
     _closing = False
     _receiving: trio.CancelScope | None = None
@@ -220,7 +226,7 @@
 
     async def _idle_timeout(self) -> None:
         with trio.move_on_after(self.config.keep_alive_timeout):
-            await self.context.terminated.wait()
+            await self.close_idle.wait()
             await trio.sleep(LINGER_S)
         self._closing = True
         if self._idle and self._receiving is not None:
--- a/tests/cooperative/deployment.py
+++ b/tests/cooperative/deployment.py
@@ -18,6 +18,7 @@
 
 from tests.cooperative.worker import Worker, serving
 from tests.faulty_proxy import FaultyProxy
+from tests.kept_connection import KeptConnection
 
 ROOT = Path(__file__).parent.parent.parent
 ZONES = ("valdres", "hallingdal", "gudbrandsdal")
@@ -89,8 +90,14 @@
     def _machine(self, name, zone, last, program):
         return Machine(name, zone, f"{self.network}.{last}", program, self.folder)
 
-    def start(self, machine, first=True):
-        seeds = ",".join(f"{each.ip}:{CONTROL_PORT}" for each in self.controls)
+    def start(self, machine, first=True, seeds=None):
+        machine.start(self.settings(machine, first, seeds))
+
+    def settings(self, machine, first=False, seeds=None):
+        """Return the settings of a machine; its seeds are the control hosts."""
+        if seeds is None:
+            seeds = [each.ip for each in self.controls]
+        seeds = ",".join(f"{ip}:{CONTROL_PORT}" for ip in seeds)
         zones = "\n".join(f"zones.{zone}=here" for zone in ZONES)
         lines = [
             f"node={machine.name}",
@@ -109,7 +116,7 @@
         else:
             lines.append(f"listen.control={machine.ip}:{CONTROL_PORT}")
             lines.append(f"data_directory={self.folder / machine.name}")
-        machine.start("\n".join(lines) + "\n")
+        return "\n".join(lines) + "\n"
 
     async def replace(self, machine):
         """Kill a control host, and start one without data at another address."""
@@ -223,6 +230,21 @@
         url = f"http://{machine.ip}:{TRAFFIC_PORT}{prefix}{identifier}"
         return identifier, await self.call("POST", url, body)
 
+    def kept_connection(self, machine):
+        """Return a connection of a client to an entry host, not yet open."""
+        return KeptConnection((machine.ip, TRAFFIC_PORT))
+
+    async def submit_over(self, connection, tasks=1, pause_s=0.0):
+        """Submit a best-effort job over a connection; return its id."""
+        self.jobs += 1
+        identifier = f"{self.jobs:016x}"
+        step = {"count": tasks, "cpu_millicores": 2000, "estimated_ms": 50}
+        job = {"task_spec": "text", "best_effort": True, "steps": [step]}
+        body = json.dumps(job).encode()
+        path = f"/p/{identifier}"
+        await connection.exchange(identifier, "POST", path, body, pause_s)
+        return identifier
+
     def owner(self, zone):
         """Return the running entry host whose log says that it dispatches to a zone."""
         for machine in self.entries:
--- a/tests/cooperative/soak.py
+++ b/tests/cooperative/soak.py
@@ -28,7 +28,6 @@
 import trio
 
 from tests.cooperative.deployment import deployed
-from tests.cooperative.kept_connection import KeptConnection
 from tests.cooperative.worker import Worker
 from tests.faulty_proxy import Fault
 
@@ -156,12 +155,12 @@
         while True:
             machine = self.random.choice(self.deployment.entries)
             process = machine.process
-            connection = KeptConnection(self.deployment, machine)
+            connection = self.deployment.kept_connection(machine)
             await connection.connect()
             while connection.open:
                 pause_s = self.random.choice((0.0, 0.0, 0.1, 0.4))
-                identifier = await connection.submit(
-                    self.random.choice((1, 2)), pause_s
+                identifier = await self.deployment.submit_over(
+                    connection, self.random.choice((1, 2)), pause_s
                 )
                 reply = connection.replies.get(identifier)
                 self.answers[identifier] = reply and (reply[0], {})
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -21,6 +21,8 @@
         self.read = []
         self.may_reply = trio.Event()
         self.may_reply.set()
+        self.may_end_reply = trio.Event()
+        self.may_end_reply.set()
 
     async def __call__(self, scope, receive, send):
         body, more = b"", True
@@ -36,6 +38,7 @@
         length = (b"content-length", str(len(body)).encode())
         head = {"type": "http.response.start", "status": 200, "headers": [length]}
         await send(head)
+        await self.may_end_reply.wait()
         await send({"type": "http.response.body", "body": body})
 
     async def wait(self, receive):
@@ -170,6 +173,25 @@
     assert await stream.receive_some() == b""
 
 
+async def test_a_connection_whose_last_reply_did_not_say_that_it_closes_is_usable(
+    server,
+):
+    # The head of the reply was sent before the server was told to stop.
+    stream = await connect(server)
+    server._app.may_end_reply = trio.Event()
+    await stream.send_all(HEAD % 1 + b"body")
+    await trio.testing.wait_all_tasks_blocked(0.05)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.drain)
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        server._app.may_end_reply.set()
+        head, _ = await reply_of(stream)
+        assert b"connection: close" not in head
+        await stream.send_all(HEAD % 2 + b"body")
+        head, _ = await reply_of(stream)
+        assert b"connection: close" in head
+
+
 async def test_a_head_that_is_half_sent_as_the_server_closes_is_answered(server):
     stream = await connect(server)
     data = HEAD % 1 + b"body"
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -14,6 +14,7 @@
 from currantwell.kernel import Kernel, ServiceName
 from currantwell.process import HANDLED_SIGNALS, run_until_stopped
 from tests.builders import a_submission
+from tests.kept_connection import KeptConnection
 from tests.processes import one_host
 
 
@@ -176,3 +177,25 @@
         while host.popen.poll() is None:
             await trio.sleep(0.05)
         assert host.popen.returncode == 0
+
+
+async def test_a_stopping_host_answers_all_over_open_connections(tmp_path):
+    with one_host(tmp_path, endpoints=1) as host, trio.fail_after(20.0):
+        ip, _, port = host.url.removeprefix("http://").partition(":")
+        connections = [KeptConnection((ip, int(port))) for _ in range(12)]
+
+        async def use(connection, path, body, pause_s):
+            await connection.connect()
+            while connection.open:
+                name = str(len(connection.replies))
+                await connection.exchange(name, "POST", path, body, pause_s)
+
+        async with trio.open_nursery() as nursery:
+            for index, connection in enumerate(connections):
+                malformed = ("/v1/jobs", b"{}", 0.03)
+                request = ("/v1/keys", b"", 0.0) if index % 2 else malformed
+                nursery.start_soon(use, connection, *request)
+            await trio.sleep(0.5)
+            host.signal(signal.SIGTERM)
+        assert [name for each in connections for name in each.unanswered] == []
+        assert all(len(each.replies) > 3 for each in connections)
