Apply changed settings of an entry host

SIGHUP says that the settings file has changed, and the file may change without it. An entry host logged `settings_reloaded` and read nothing: a host that knew no control host that still exists stayed without a configuration after its settings named others.

The entry host connects to the control hosts that it names; these are the only settings that change while a machine keeps its address. A file that can't be read is logged (106) and changes nothing.

Control hosts and hosts outside the platform read nothing again, and log no `settings_reloaded`.

--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -81,7 +81,7 @@
     103,
     "settings_reloaded",
     Level.INFO,
-    "The host received a signal that the settings file has changed.",
+    "The host applied the settings file again, by a signal or since it has changed.",
 )
 SIGNAL_RECEIVED = _event(
     104,
@@ -96,6 +96,12 @@
     "The host ends by unexpected errors; without this event and host_stopped, the "
     "process was killed.",
 )
+SETTINGS_REFUSED = _event(
+    106,
+    "settings_refused",
+    Level.ERROR,
+    "A changed settings file can't be read; the settings in force stay.",
+)
 ENDPOINT_REGISTERED = _event(
     200,
     "endpoint_registered",
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -121,6 +121,11 @@
         for channel in self._hosts:
             channel.send(hello)
 
+    def add_control_addresses(self, addresses: Iterable[str]) -> None:
+        """Connect to further control hosts too."""
+        self._control_addresses.update(addresses)
+        self._addresses_changed.set()
+
     def set_dispatching(self, dispatching: bool) -> None:
         """Adapt the ping interval to whether this host runs a dispatcher."""
         ping_interval_s = PING_INTERVAL_S if dispatching else IDLE_PING_INTERVAL_S
@@ -175,8 +180,7 @@
             case ConfigurationUpdate(configuration):
                 self._apply_configuration(configuration)
             case ControlHostsUpdate(addresses):
-                self._control_addresses.update(addresses)
-                self._addresses_changed.set()
+                self.add_control_addresses(addresses)
             case EndpointHeartbeats(endpoints):
                 self._record_heartbeats(endpoints)
             case EntryHostsUpdate(hosts):
--- a/currantwell/process.py
+++ b/currantwell/process.py
@@ -57,11 +57,13 @@
     run: Callable[[trio.TaskStatus[None]], Awaitable[bool]],
     announce: Callable[[], None],
     drain: Callable[[], Awaitable[None]],
+    reload: Callable[[], None] | None = None,
 ) -> bool:
     """Run the services of a host until SIGTERM or SIGINT.
 
     Signals are received before the first service starts and until the last one has
-    stopped. A repeated SIGTERM changes nothing, SIGHUP is only logged.
+    stopped. A repeated SIGTERM changes nothing. SIGHUP is only logged, unless there is
+    a ``reload``.
 
     Parameters
     ----------
@@ -75,13 +77,15 @@
         Called once all services have started.
     drain : callable
         Called to prepare a stop; the kernel is stopped when it returns.
+    reload : callable or None
+        Called on SIGHUP while the host serves.
 
     Returns
     -------
     bool
         Whether all services drained in time.
     """
-    life = _HostLife(host, kernel, run, announce, drain)
+    life = _HostLife(host, kernel, run, announce, drain, reload)
     try:
         with _received_signals() as signals:
             drained = await life.run(signals)
@@ -113,6 +117,7 @@
         run: Callable[[trio.TaskStatus[None]], Awaitable[bool]],
         announce: Callable[[], None],
         drain: Callable[[], Awaitable[None]],
+        reload: Callable[[], None] | None,
     ) -> None:
         self.state = HostState.STARTING
         self._host = host
@@ -120,6 +125,7 @@
         self._run_services = run
         self._announce = announce
         self._drain = drain
+        self._reload = reload
         self._stop = trio.Event()
         self._drained = False
 
@@ -144,14 +150,17 @@
     async def _receive(self, signals: AsyncIterator[int]) -> None:
         async for number in signals:
             stops = number != signal.SIGHUP and self.state is not HostState.STOPPING
+            serving = self.state is HostState.SERVING
+            reload = self._reload if serving and number == signal.SIGHUP else None
+            action = "stop" if stops else "reload" if reload is not None else "none"
             events.SIGNAL_RECEIVED.log(
                 host=self._host,
                 signal=signal.Signals(number).name,
                 state=self.state.value,
-                action="stop" if stops else "none",
+                action=action,
             )
-            if number == signal.SIGHUP:
-                events.SETTINGS_RELOADED.log(host=self._host)
+            if reload is not None:
+                reload()
             if stops:
                 if self.state is HostState.STARTING:
                     self._kernel.stop()
