--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -81,7 +81,7 @@
     103,
     "settings_reloaded",
     Level.INFO,
-    "The host received a signal that the settings file has changed.",
+    "The host applied the settings file again, by a signal or since it has changed.",
 )
 SIGNAL_RECEIVED = _event(
     104,
@@ -102,6 +102,12 @@
     Level.WARNING,
     "The host stops though jobs are in progress, since its time to stop runs out.",
 )
+SETTINGS_REFUSED = _event(
+    107,
+    "settings_refused",
+    Level.ERROR,
+    "A changed settings file can't be read; the settings in force stay.",
+)
 ENDPOINT_REGISTERED = _event(
     200,
     "endpoint_registered",
--- a/currantwell/http_connection.py
+++ b/currantwell/http_connection.py
@@ -25,9 +25,11 @@
 
 from .direct_stream import DirectStream
 
-__all__ = ["HttpConnection"]
+__all__ = ["LINGER_S", "HttpConnection"]
 
 RECEIVE_BYTES = 64 * 1024
+# Longer than a request is under way from a client to the host.
+LINGER_S = 0.1
 
 
 class HttpConnection:
@@ -40,7 +42,7 @@
     config : Config
         Configuration of Hypercorn.
     context : WorkerContext
-        Tells whether the server is stopping.
+        Context of Hypercorn.
     stream : trio.SocketStream
         The connection; this object takes it over.
     """
@@ -121,6 +123,12 @@
             return await self._stream.receive_some(RECEIVE_BYTES)
         return self._stream.receive_now(RECEIVE_BYTES)
 
+    def _limit_idle_time(self) -> None:
+        """Close the connection if the next request does not arrive in time."""
+        limit_s = LINGER_S if self._closing else self._config.read_timeout or math.inf
+        if self._receiving is not None:
+            self._receiving.deadline = trio.current_time() + limit_s
+
     @property
     def _request_is_read(self) -> bool:
         """Whether the client waits for the reply to a request that it sent in full."""
@@ -136,6 +144,8 @@
                 await self._protocol.handle(Closed())
             case Updated():
                 self._idle = event.idle
+                if event.idle:
+                    self._limit_idle_time()
 
     async def _send(self, data: bytes) -> None:
         """Send data, which is completed even if the request is cancelled."""
--- a/currantwell/http_server.py
+++ b/currantwell/http_server.py
@@ -15,7 +15,7 @@
 from hypercorn.trio.worker_context import WorkerContext
 
 from .clock import now_s
-from .http_connection import HttpConnection
+from .http_connection import LINGER_S, HttpConnection
 from .kernel import ServiceName
 
 __all__ = ["AsgiApp", "HttpServer", "bind"]
@@ -27,8 +27,6 @@
 
 READ_TIMEOUT_S = 30
 BACKLOG = 256
-# Longer than a request is under way from a client to the host.
-LINGER_S = 0.1
 
 
 def bind(address: str, port: int) -> socket.socket:
@@ -79,6 +77,8 @@
         self._listeners = listeners
         self._graceful_s = graceful_s
         self._connections: set[HttpConnection] = set()
+        # Never terminated: Hypercorn would close connections after replies that did not
+        # say so, and cut the next request.
         self._context = WorkerContext(None)
         self.address: tuple[str, int] = listeners[0].getsockname()
         self._stop_requested = trio.Event()
@@ -129,7 +129,6 @@
                     await self._stop_requested.wait()
                     accepting.cancel_scope.cancel()
             finally:
-                await self._context.terminated.set()
                 connections.cancel_scope.deadline = now_s() + self._graceful_s
                 for stream in self._take_backlog():
                     connections.start_soon(self._serve_connection, stream)
