--- a/currantwell/direct_stream.py
+++ b/currantwell/direct_stream.py
@@ -8,6 +8,7 @@
 import errno
 import os
 import socket
+from contextlib import suppress
 from typing import Self
 
 import trio
@@ -67,12 +68,29 @@
         """Return received data as soon as there is some, none at the end of stream."""
         while True:
             await trio.lowlevel.wait_readable(self.socket)
-            try:
-                return self.socket.recv(max_bytes or RECEIVE_BYTES)
-            except BlockingIOError:
-                continue
-            except OSError as error:
-                raise trio.BrokenResourceError(str(error)) from error
+            data = self.receive_now(max_bytes)
+            if data is not None:
+                return data
+
+    def receive_now(self, max_bytes: int | None = None) -> bytes | None:
+        """Return received data without waiting, None if there is none yet.
+
+        Raises
+        ------
+        trio.BrokenResourceError
+            If the connection is lost or closed.
+        """
+        try:
+            return self.socket.recv(max_bytes or RECEIVE_BYTES)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
+    def send_eof(self) -> None:
+        """Tell the other end that nothing more is sent, if the connection is open."""
+        with suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
 
     def close(self) -> None:
         """Close the connection; tasks that wait for it get `ClosedResourceError`."""
--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -19,7 +19,6 @@
 from .codes import ResultCode
 from .decisions import PlacementDecision
 from .drains import DrainSource, NoDrains
-from .endpoint_link import EndpointLink, MakeLink
 from .endpoint_protocol import (
     AdoptReply,
     Announcement,
@@ -38,6 +37,7 @@
 from .job_log import JobLog
 from .jobs import Job, JobTable, Task
 from .kernel import ServiceName
+from .link import MakeLink
 from .metrics import HostLoad, Metrics, Timing
 from .progress import AttemptDecision, AttemptProgress, decide_attempt
 from .records import (
@@ -57,6 +57,8 @@
 __all__ = ["Dispatcher", "DispatcherLimits"]
 
 TICK_S = 0.1
+# Jobs that expire within this time are cancelled together.
+MIN_EXPIRY_INTERVAL_S = 0.01
 PAUSE_POLL_S = 0.02
 FORGET_INTERVAL_S = 10.0
 
@@ -113,8 +115,8 @@
         Wall clock for deadlines that must survive a restart of the process.
     limits : DispatcherLimits or None
         Timeouts and retention; None for the defaults.
-    make_link : callable
-        Makes the link to an incarnation of an endpoint.
+    make_link : callable or None
+        Makes the link to an incarnation of an endpoint; None for `EndpointLink`.
     metrics : Metrics or None
         Records response and queue times.
     drains : DrainSource or None
@@ -132,7 +134,7 @@
         calendar: CalendarClock,
         limits: DispatcherLimits | None = None,
         metrics: Metrics | None = None,
-        make_link: MakeLink = EndpointLink,
+        make_link: MakeLink | None = None,
         drains: DrainSource | None = None,
     ) -> None:
         self.data_centre = data_centre
@@ -155,7 +157,7 @@
             ),
             scheduler,
             drains or NoDrains(),
-            make_link,
+            make_link or _default_make_link(),
             self,
             self._grantable_lease_s,
         )
@@ -700,15 +702,23 @@
     async def _tick_loop(self) -> None:
         """Act on expired leases, answers and deadlines, and on stragglers."""
         while True:
-            await trio.sleep(TICK_S)
-            now = now_s()
+            await self._expire_jobs_until(now_s() + TICK_S)
             for endpoint, incarnation in self._roster.tick():
                 await self._end_expired_attempts(endpoint, incarnation)
             self._forget_expired_jobs()
+            self._stop_stragglers(now_s())
+            self._plan_if_tasks_wait()
+
+    async def _expire_jobs_until(self, end_s: float) -> None:
+        """Cancel each job that expires before a time as soon as it does."""
+        while True:
+            now = now_s()
             for job in self._scheduler.pop_expired_jobs(now):
                 await self._cancel_job(job, ResultCode.DEADLINE_PASSED)
-            self._stop_stragglers(now)
-            self._plan_if_tasks_wait()
+            if now >= end_s:
+                return
+            next_s = max(self._scheduler.next_expiry_s(), now + MIN_EXPIRY_INTERVAL_S)
+            await trio.sleep_until(min(next_s, end_s))
 
     def _stop_stragglers(self, now: float) -> None:
         """Stop straggling attempts; their tasks start again once they have ended."""
@@ -899,3 +909,10 @@
         task.spec.memory_mb,
         task.spec.accelerators,
     )
+
+
+def _default_make_link() -> MakeLink:
+    # Imported only if used, since it imports a complete HTTP client.
+    from .endpoint_link import EndpointLink
+
+    return EndpointLink
--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -264,6 +264,11 @@
             return JobNotRun("no dispatcher is reached", RETRY_AFTER_S)
         self._parts = len(parts)
         self._router.log_routing(self._order, parts)
+        if len(parts) == 1:
+            # Most jobs are; a task of its own would cost more than it does.
+            with trio.CancelScope() as scope:
+                await self._run_part(parts[0], scope)
+            return self._outcome or JobDone()
         async with trio.open_nursery() as nursery:
             for part in parts:
                 nursery.start_soon(self._run_part, part, nursery.cancel_scope)
@@ -306,14 +311,15 @@
                 wait_s = max(reply.retry_after_s, RETRY_AFTER_S)
                 if not isinstance(outcome, JobIncomplete):
                     outcome = JobNotRun(f"{reply.code.name}: {reply.detail}", wait_s)
+                pause_s = REFUSED_PAUSE_S
                 if reply.code is ResultCode.NOT_RUN_IMPOSSIBLE:
+                    pause_s = 0.0
                     unable.add(part.group)
                     if unable.issuperset(self._links.capacity_reports()):
                         break
-                else:
-                    await trio.sleep(REFUSED_PAUSE_S)
-                if now_s() >= self._order.start_by_s:
+                if now_s() + pause_s >= self._order.start_by_s:
                     break
+                await trio.sleep(pause_s)
             part = self._reroute(part, unable)
         self._end(outcome, scope)
 
--- a/tests/cooperative/deployment.py
+++ b/tests/cooperative/deployment.py
@@ -18,12 +18,14 @@
 
 from tests.cooperative.worker import Worker, serving
 from tests.faulty_proxy import FaultyProxy
+from tests.kept_connection import KeptConnection
 
 ROOT = Path(__file__).parent.parent.parent
 ZONES = ("valdres", "hallingdal", "gudbrandsdal")
 TRAFFIC_PORT, READY_PORT, CONTROL_PORT, INTERNAL_PORT = 8161, 8167, 8166, 7720
 HEARTBEAT_S = 0.5
 PATIENCE_S = 20.0
+GRACE_S = 6.0
 # Each deployment of a test run uses its own network.
 _networks = iter(range(1 + os.getpid() % 200, 10_000))
 
@@ -89,8 +91,14 @@
     def _machine(self, name, zone, last, program):
         return Machine(name, zone, f"{self.network}.{last}", program, self.folder)
 
-    def start(self, machine, first=True):
-        seeds = ",".join(f"{each.ip}:{CONTROL_PORT}" for each in self.controls)
+    def start(self, machine, first=True, seeds=None):
+        machine.start(self.settings(machine, first, seeds))
+
+    def settings(self, machine, first=False, seeds=None):
+        """Return the settings of a machine; its seeds are the control hosts."""
+        if seeds is None:
+            seeds = [each.ip for each in self.controls]
+        seeds = ",".join(f"{ip}:{CONTROL_PORT}" for ip in seeds)
         zones = "\n".join(f"zones.{zone}=here" for zone in ZONES)
         lines = [
             f"node={machine.name}",
@@ -101,7 +109,7 @@
             f"seeds={seeds}",
             f"bootstrap={'true' if first else 'false'}",
             "bounds.hold_max_ms=1000",
-            "bounds.grace_s=6",
+            f"bounds.grace_s={GRACE_S}",
         ]
         if machine.program == "entry":
             lines.append(f"listen.frontend={machine.ip}:{TRAFFIC_PORT}")
@@ -109,7 +117,7 @@
         else:
             lines.append(f"listen.control={machine.ip}:{CONTROL_PORT}")
             lines.append(f"data_directory={self.folder / machine.name}")
-        machine.start("\n".join(lines) + "\n")
+        return "\n".join(lines) + "\n"
 
     async def replace(self, machine):
         """Kill a control host, and start one without data at another address."""
@@ -214,14 +222,50 @@
                 while not await self.ready(machine):
                     await trio.sleep(0.05)
 
-    async def submit(self, machine, tasks=2, identifier=None, prefix="/p/"):
+    async def until_adopted(self):
+        """Wait until each worker has a dispatcher, so that all have free capacity."""
+        with trio.fail_after(PATIENCE_S):
+            while not all(worker.token for worker in self.workers):
+                await trio.sleep(0.02)
+
+    async def until_listening(self, *machines):
+        """Wait until control hosts accept connections of operators."""
+        with trio.fail_after(PATIENCE_S):
+            for machine in machines:
+                while True:
+                    try:
+                        stream = await trio.open_tcp_stream(machine.ip, CONTROL_PORT)
+                    except OSError:
+                        await trio.sleep(0.05)
+                    else:
+                        await stream.aclose()
+                        break
+
+    async def submit(
+        self, machine, tasks=2, identifier=None, prefix="/p/", timeout_s=2.0
+    ):
         """Submit a best-effort job; return its id and the reply as `call` does."""
         self.jobs += 1
         identifier = identifier or f"{self.jobs:016x}"
         step = {"count": tasks, "cpu_millicores": 2000, "estimated_ms": 50}
         body = {"task_spec": "text", "best_effort": True, "steps": [step]}
         url = f"http://{machine.ip}:{TRAFFIC_PORT}{prefix}{identifier}"
-        return identifier, await self.call("POST", url, body)
+        return identifier, await self.call("POST", url, body, timeout_s=timeout_s)
+
+    def kept_connection(self, machine):
+        """Return a connection of a client to an entry host, not yet open."""
+        return KeptConnection((machine.ip, TRAFFIC_PORT))
+
+    async def submit_over(self, connection, tasks=1, pause_s=0.0):
+        """Submit a best-effort job over a connection; return its id."""
+        self.jobs += 1
+        identifier = f"{self.jobs:016x}"
+        step = {"count": tasks, "cpu_millicores": 2000, "estimated_ms": 50}
+        job = {"task_spec": "text", "best_effort": True, "steps": [step]}
+        body = json.dumps(job).encode()
+        path = f"/p/{identifier}"
+        await connection.exchange(identifier, "POST", path, body, pause_s)
+        return identifier
 
     def owner(self, zone):
         """Return the running entry host whose log says that it dispatches to a zone."""
@@ -269,6 +313,7 @@
                 await nursery.start(run_worker, worker)
             await deployment.put(1)
             await deployment.until_ready()
+            await deployment.until_adopted()
             yield deployment
             nursery.cancel_scope.cancel()
     finally:
--- a/tests/cooperative/test_programs.py
+++ b/tests/cooperative/test_programs.py
@@ -7,7 +7,13 @@
 import pytest
 import trio
 
-from tests.cooperative.deployment import CONTROL_PORT, PATIENCE_S, deployed
+from tests.cooperative.deployment import (
+    CONTROL_PORT,
+    GRACE_S,
+    PATIENCE_S,
+    deployed,
+)
+from tests.kept_connection import KeptConnection
 
 
 async def until_served(deployment, machine, prefix="/p/"):
@@ -66,6 +72,7 @@
             deployment.start(machine, first=False)
         await deployment.until_ready()
         await until_served(deployment, deployment.entries[0], "/q/")
+        await deployment.until_listening(*deployment.controls)
         for machine in deployment.controls:
             assert await deployment.read(machine) == (200, sent)
 
@@ -189,6 +196,40 @@
         ]
 
 
+async def test_a_host_that_drains_beside_a_long_job_ends_before_it_is_killed(tmp_path):
+    # It accepted requests until the end of its grace time, and was killed with them.
+    async with deployed(tmp_path) as deployment:
+        await deployment.put(5, timeout_ms=20_000, target_duration_ms=9_000)
+        for machine in deployment.entries:
+            await until_served(deployment, machine, "/p/")
+        for worker in deployment.workers:
+            worker.task_s = 10.0
+        stopping = deployment.owner("valdres")
+        replies = []
+
+        async def submit(sent_s):
+            reply = await deployment.submit(stopping, 1, timeout_s=2 * GRACE_S)
+            replies.append((sent_s, reply[1]))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(2):
+                nursery.start_soon(submit, 0.0)
+            await trio.sleep(0.6)
+            for worker in deployment.workers:
+                worker.task_s = 0.3
+            stopping.process.send_signal(signal.SIGTERM)
+            started_s = trio.current_time()
+            while stopping.process.poll() is None:
+                sent_s = trio.current_time() - started_s
+                assert sent_s < GRACE_S
+                nursery.start_soon(submit, sent_s)
+                await trio.sleep(0.25)
+        assert (await until_ended(stopping))[1] == "host_stopped"
+        assert "drain_expired" in stopping.log()
+        late = [reply for sent_s, reply in replies if sent_s > 0.7 * GRACE_S]
+        assert all(reply is None or reply[0] == 503 for reply in late)
+
+
 async def until_importing(machine):
     """Wait until a process imports its libraries."""
     maps = Path(f"/proc/{machine.process.pid}/maps")
@@ -302,3 +343,122 @@
             if changes and {voter.partition("/")[0] for voter in changes[-1]} == wanted:
                 return
         await trio.sleep(0.1)
+
+
+async def leave_open_until_it_stops(deployment, connection, quiet_s):
+    """Use a connection once, leave it quiet, and then use it until it closes."""
+    await connection.connect()
+    await deployment.submit_over(connection)
+    await trio.sleep(quiet_s)
+    while connection.open:
+        await deployment.submit_over(connection)
+
+
+async def use_until_it_stops(deployment, machine, connections, pause_s):
+    """Send jobs in quick succession, over a new connection if one was closed."""
+    while machine.process.poll() is None:
+        connection = deployment.kept_connection(machine)
+        await connection.connect()
+        if not connection.open:
+            return
+        connections.append(connection)
+        while connection.open:
+            await deployment.submit_over(connection, pause_s=pause_s)
+
+
+async def test_no_request_that_a_stopping_host_has_read_is_cut(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        stopping = deployment.entries[0]
+        quiet = [deployment.kept_connection(stopping) for _ in range(40)]
+        used, uploads = [], []
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(use_until_it_stops, deployment, stopping, used, 0)
+            for pause_s in (0.05, 0.2, 0.45):
+                nursery.start_soon(
+                    use_until_it_stops, deployment, stopping, uploads, pause_s
+                )
+            for index, connection in enumerate(quiet):
+                nursery.start_soon(
+                    leave_open_until_it_stops,
+                    deployment,
+                    connection,
+                    2.4 + 0.05 * index,
+                )
+            await trio.sleep(0.5)
+            stopping.process.send_signal(signal.SIGTERM)
+        assert await until_ended(stopping) == (0, "host_stopped")
+        text = stopping.log()
+        ran = {name.split(".")[0] for name, _ in starts(deployment)}
+        connections = [*quiet, *used, *uploads]
+        unanswered = [job for each in connections for job in each.unanswered]
+        assert [job for job in unanswered if job in text or job in ran] == []
+        replies = [reply for each in connections for reply in each.replies.values()]
+        assert {status for status, _ in replies} <= {200, 503, 504}
+        assert all("retry-after" in head for status, head in replies if status == 503)
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+async def test_a_stopping_control_host_answers_all_over_open_connections(
+    tmp_path, number
+):
+    async with deployed(tmp_path) as deployment:
+        stopping = deployment.controls[0]
+        worker = deployment.workers[0]
+        report = {
+            "service": "board",
+            "address": "127.0.0.1:1",
+            "zone": "valdres",
+            "slots": 8,
+            "state": "ready",
+            "sequence": 1,
+            "born": worker.born,
+        }
+        requests = (
+            ("GET", "/-/Configuration.Get", b"", 0.0),
+            ("POST", "/-/Instances.Heartbeat/i-99", json.dumps(report).encode(), 0.0),
+            ("POST", "/-/Configuration.Put", b'{"version": 1, "routes": []}', 0.03),
+        )
+        connections = [KeptConnection((stopping.ip, CONTROL_PORT)) for _ in range(12)]
+
+        async def use(connection, method, path, body, pause_s):
+            await connection.connect()
+            while connection.open:
+                name = f"{method} {path} {len(connection.replies)}"
+                await connection.exchange(name, method, path, body, pause_s)
+
+        async with trio.open_nursery() as nursery:
+            for index, connection in enumerate(connections):
+                nursery.start_soon(use, connection, *requests[index % 3])
+            await trio.sleep(0.5)
+            stopping.process.send_signal(signal.SIGTERM)
+            stopping.process.send_signal(number)
+        assert [name for each in connections for name in each.unanswered] == []
+        assert all(len(each.replies) > 3 for each in connections)
+        assert await until_ended(stopping) == (0, "host_stopped")
+
+
+@pytest.mark.parametrize("signalled", [True, False])
+async def test_a_host_connects_to_the_control_hosts_of_changed_settings(
+    tmp_path, signalled
+):
+    async with deployed(tmp_path) as deployment:
+        machine = deployment.entries[0]
+        machine.kill()
+        deployment.start(machine, first=False, seeds=[f"{deployment.network}.99"])
+        with trio.fail_after(PATIENCE_S):
+            while machine.log().count("host_started") < 2:
+                await trio.sleep(0.05)
+        assert not await deployment.ready(machine)
+        path = tmp_path / f"{machine.name}.conf"
+        path.write_text("no settings")
+        if signalled:
+            machine.process.send_signal(signal.SIGHUP)
+        with trio.fail_after(PATIENCE_S):
+            while "settings_refused" not in machine.log():
+                await trio.sleep(0.05)
+        path.write_text(deployment.settings(machine))
+        if signalled:
+            machine.process.send_signal(signal.SIGHUP)
+        await deployment.until_ready(machine)
+        await until_served(deployment, machine)
--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -1,6 +1,7 @@
 """The Raft agreement over loopback connections, with all hosts in one process."""
 
-from contextlib import asynccontextmanager
+import threading
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 import trio
@@ -8,6 +9,7 @@
 from currantwell.consensus_leader import RaftTiming
 from currantwell.errors import AgreementLost
 from currantwell.journal import DiskJournal
+from currantwell.raft_messages import ProposalSent
 from tests.builders import AgreementCluster, FillableDisk
 
 RECOVERY_TIMEOUT_S = 2.0
@@ -137,12 +139,25 @@
         await cluster.running[successor].agreement.propose(b"after")
 
 
+class StallingDisk(FillableDisk):
+    """Also answers no sync while `may_sync` is cleared."""
+
+    def __init__(self):
+        super().__init__()
+        self.may_sync = threading.Event()
+        self.may_sync.set()
+
+    def sync(self, fd):
+        self.may_sync.wait(30)
+        super().sync(fd)
+
+
 class FullDisks:
     """The disks of a cluster's hosts, with journals in a folder of each host."""
 
     def __init__(self, cluster, folder):
         self._folder = folder
-        self.disks = {name: FillableDisk() for name in cluster.hosts}
+        self.disks = {name: StallingDisk() for name in cluster.hosts}
         for name in cluster.hosts:
             self.open(cluster, name)
 
@@ -153,10 +168,10 @@
 
 
 @asynccontextmanager
-async def cluster_on_disks(folder, **options):
+async def cluster_on_disks(folder, hosts=3, **options):
     with trio.fail_after(60):
         async with trio.open_nursery() as nursery:
-            cluster = AgreementCluster(nursery, 3, **options)
+            cluster = AgreementCluster(nursery, hosts, **options)
             disks = FullDisks(cluster, folder)
             await cluster.start_all()
             yield cluster, disks
@@ -270,3 +285,169 @@
         await cluster.start_all()
         await cluster.running[run.host].agreement.read_barrier()
         assert len(cluster.running[run.host].state.commands) == 16
+
+
+async def change_at(run, command):
+    """Propose a command at one host until it acknowledges it."""
+    while True:
+        with suppress(AgreementLost):
+            await run.agreement.propose(command.encode(), ATTEMPT_TIMEOUT_S)
+            return
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+async def test_a_voter_that_was_replaced_while_its_disk_was_full_takes_part_again(
+    tmp_path, monkeypatch, restarts
+):
+    """Else it would refuse each change and each read until its disk is lost."""
+    monkeypatch.setattr("currantwell.raft_agreement.VOTER_REPLACE_AFTER_S", 1.0)
+    options = {
+        "voters": 3,
+        "timing": RaftTiming(nonvoter_heartbeat_s=0.2),
+        "target_voters": 3,
+    }
+    async with cluster_on_disks(tmp_path, 5, **options) as (cluster, disks):
+        leader = await cluster.leader()
+        replaced = [name for name in cluster.voters if name != leader.host]
+        for name in replaced:
+            member = cluster.running[name].agreement.member
+            await cluster.running[name].agreement.propose(b"before")
+            disks.disks[name].room_bytes = 0
+            await leader.agreement.propose(b"meanwhile")
+            while member in leader.agreement.membership.members:
+                await trio.sleep(0.05)
+            disks.disks[name].room_bytes = None
+            if restarts:
+                await cluster.kill(name)
+                disks.open(cluster, name)
+                await cluster.start(name)
+            with trio.fail_after(2 * ACKNOWLEDGE_TIMEOUT_S):
+                await change_at(cluster.running[name], name)
+            assert cluster.running[name].agreement.member == member
+        await leader.agreement.read_barrier()
+        assert set(replaced) <= set(leader.state.commands)
+        assert len(leader.agreement.membership.voters) == 3
+        assert len(leader.agreement.membership.members) == 5
+
+
+@pytest.mark.parametrize("leads", [False, True])
+async def test_a_caller_is_told_soon_that_a_disk_is_full(tmp_path, leads):
+    """So that it asks another host, which answers with the first result."""
+    async with cluster_on_disks(tmp_path) as (cluster, disks):
+        leader = await cluster.leader()
+        full = next(run for run in cluster.running.values() if (run is leader) is leads)
+        disks.disks[full.host].room_bytes = 7
+        with trio.fail_after(RECOVERY_TIMEOUT_S), pytest.raises(AgreementLost):
+            await full.agreement.propose(b"first", 60.0)
+        with trio.fail_after(RECOVERY_TIMEOUT_S), pytest.raises(AgreementLost):
+            await full.agreement.propose(b"second", 60.0)
+        with trio.fail_after(RECOVERY_TIMEOUT_S), pytest.raises(AgreementLost):
+            await full.agreement.read_barrier(60.0)
+        await change_as_operator(cluster, "elsewhere")
+        disks.disks[full.host].room_bytes = None
+        await full.agreement.read_barrier()
+        assert "second" not in full.state.commands
+        assert "elsewhere" in full.state.commands
+
+
+async def test_a_read_that_waits_when_the_disk_fills_up_is_answered(tmp_path):
+    async with cluster_on_disks(tmp_path) as (cluster, disks):
+        leader = await cluster.leader()
+        others = [name for name in cluster.hosts if name != leader.host]
+        for name in others:
+            await cluster.kill(name)
+        disks.disks[leader.host].room_bytes = 7
+        with trio.fail_after(RECOVERY_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read_in_vain, leader)
+                with pytest.raises(AgreementLost):
+                    await leader.agreement.propose(b"alone", 60.0)
+
+
+async def read_in_vain(run):
+    with pytest.raises(AgreementLost):
+        await run.agreement.read_barrier(60.0)
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x95\x00"])
+async def test_a_proposal_that_can_not_be_decoded_is_not_agreed(data):
+    """Else each host would end when it applies it, and again at each start."""
+    async with cluster_of(3) as cluster:
+        leader = await cluster.leader()
+        reply = await leader.agreement._handle_proposal("host-9", ProposalSent(data))
+        assert not reply.taken
+        for run in list(cluster.running.values()):
+            await run.agreement.propose(b"after")
+            assert "after" in run.state.commands
+
+
+@pytest.mark.parametrize("second", ["full", "stalled", "killed"])
+async def test_changes_go_on_while_two_of_five_voters_have_no_usable_disk(
+    tmp_path, second
+):
+    async with cluster_on_disks(tmp_path, 6, voters=5) as (cluster, disks):
+        leader = await cluster.leader()
+        other = next(name for name in cluster.voters if name != leader.host)
+        disks.disks[leader.host].room_bytes = 7
+        if second == "full":
+            disks.disks[other].room_bytes = 0
+        elif second == "stalled":
+            disks.disks[other].may_sync.clear()
+        else:
+            await cluster.kill(other)
+            disks.disks[other].room_bytes = 0
+            disks.open(cluster, other)
+        async with trio.open_nursery() as nursery:
+            if second == "killed":
+                nursery.start_soon(cluster.start, other)
+            for number in range(4):
+                await change_as_operator(cluster, str(number))
+            for disk in disks.disks.values():
+                disk.room_bytes = None
+                disk.may_sync.set()
+        for run in list(cluster.running.values()):
+            with trio.fail_after(ACKNOWLEDGE_TIMEOUT_S):
+                await change_at(run, f"at {run.host}")
+            assert {"0", "1", "2", "3"} <= set(run.state.commands)
+        assert len(cluster.running) == 6
+
+
+async def test_a_host_whose_disk_fills_up_while_it_is_added_joins_later(tmp_path):
+    options = {"voters": 3, "timing": RaftTiming(nonvoter_heartbeat_s=0.2)}
+    async with cluster_on_disks(tmp_path, 4, **options) as (cluster, disks):
+        name = cluster.hosts[-1]
+        await cluster.kill(name)
+        (tmp_path / f"{name}.journal").unlink()
+        disks.open(cluster, name)
+        added = await cluster.start(name)
+        disks.disks[name].room_bytes = 7
+        for number in range(4):
+            await change_as_operator(cluster, str(number))
+        assert added.state.commands == []
+        disks.disks[name].room_bytes = None
+        with trio.fail_after(ACKNOWLEDGE_TIMEOUT_S):
+            await change_at(added, "after")
+        assert {"0", "1", "2", "3"} <= set(added.state.commands)
+
+
+async def test_nothing_acknowledged_is_lost_if_all_are_killed_while_disks_are_full(
+    tmp_path,
+):
+    """Also what was acknowledged by others while the leader had no room."""
+    async with cluster_on_disks(tmp_path, snapshot_every=5) as (cluster, disks):
+        acknowledged = []
+        for number in range(12):
+            leader = await cluster.leader()
+            disks.disks[leader.host].room_bytes = number % 3 * 5
+            await change_as_operator(cluster, str(number))
+            acknowledged.append(str(number))
+            if number % 4 == 3:
+                for name in cluster.hosts:
+                    await cluster.kill(name)
+                    disks.disks[name].room_bytes = None
+                    disks.open(cluster, name)
+                await cluster.start_all()
+            disks.disks[leader.host].room_bytes = None
+        for run in cluster.running.values():
+            await change_at(run, "after")
+            assert set(acknowledged) <= set(run.state.commands)
