--- a/tests/cooperative/soak.py
+++ b/tests/cooperative/soak.py
@@ -107,6 +107,8 @@
         self.log = []
         # Process ids that were killed or frozen.
         self.disrupted = set()
+        # Process ids that were told to stop.
+        self.stopping = set()
         self.unanswered = []
 
     def note(self, text):
@@ -260,6 +262,7 @@
         """Kill or terminate a process, and restart it."""
         process = machine.process
         if kind == "term":
+            self.stopping.add(process.pid)
             process.send_signal(signal.SIGTERM)
             with trio.move_on_after(TERMINATION_TIMEOUT_S):
                 while process.poll() is None:
@@ -322,7 +325,9 @@
             worker.draining, worker.how, worker.task_s = False, "done", 0.05
             self.deployment.proxies[worker.identifier].set_fault(Fault.NONE)
         for machine in (*self.deployment.controls, *self.deployment.entries):
-            if machine.process.poll() is not None:
+            process = machine.process
+            if process.poll() is not None or process.pid in self.stopping:
+                self.disrupted.add(process.pid)
                 self.deployment.restart(machine)
             machine.process.send_signal(signal.SIGCONT)
 
