Test that reads at a leader end when its disk fills

Each held one of the 64 places for requests, so a host with a full disk answered no request of any kind after some time.

The review's test passes here, and fails when _wake_callers wakes the proposals only: the reads are held after 2 s.

--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -9,7 +9,7 @@
 from currantwell.consensus_leader import RaftTiming
 from currantwell.errors import AgreementLost
 from currantwell.journal import DiskJournal
-from currantwell.raft_messages import ProposalSent
+from currantwell.raft_messages import ConfirmAsked, ProposalSent
 from tests.builders import AgreementCluster, FillableDisk
 
 RECOVERY_TIMEOUT_S = 2.0
@@ -248,6 +248,36 @@
         await slow.agreement.read_barrier()
 
 
+async def test_reads_at_a_leader_whose_disk_fills_hold_no_request_of_another_host(
+    tmp_path,
+):
+    """Each would hold one of 64 places until there is room."""
+    async with cluster_on_disks(tmp_path) as (cluster, disks):
+        leader = await cluster.leader()
+        other = next(host for host in cluster.hosts if host != leader.host)
+        disks.disks[leader.host].room_bytes = 7
+        held = set()
+
+        async def read(number):
+            held.add(number)
+            await leader.agreement._handle_read_request(other, ConfirmAsked())
+            held.remove(number)
+
+        async def propose():
+            with suppress(AgreementLost):
+                await leader.agreement.propose(b"refused", 0.1)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(propose)
+            for number in range(70):
+                nursery.start_soon(read, number)
+            await trio.sleep(2.0)
+            still_held = len(held)
+            nursery.cancel_scope.cancel()
+        assert leader.agreement.leader != leader.host
+    assert still_held == 0
+
+
 async def test_a_host_that_starts_on_a_full_disk_waits_for_room(tmp_path):
     async with cluster_on_disks(tmp_path) as (cluster, disks):
         leader = await cluster.leader()
