Hold signals back before a host imports its libraries

SIGHUP or SIGTERM in the first part of a start ended `currantwell host run` at once: the signals were blocked in held_signals, after the imports of the whole command. platform/run.py imported pathlib before it blocked them.

The package itself now blocks them, before it imports trio, if the process is named currantwell or started by `python -m` and its command is `host run`. That can't be done in __main__.py: Python imports the package, and with it trio, before it runs __main__.py, and the console script imports only the package.

What the interpreter takes before the first line remains.

--- a/currantwell/__init__.py
+++ b/currantwell/__init__.py
@@ -1,6 +1,10 @@
 """Currantwell, a dispatcher for sub-second tasks."""
 
-from ._no_subprocess import import_trio
+from ._early_signals import block_signals_of_host
+
+block_signals_of_host()
+
+from ._no_subprocess import import_trio  # noqa: E402
 
 __all__ = ["__version__"]
 
--- a/currantwell/process.py
+++ b/currantwell/process.py
@@ -13,13 +13,12 @@
 import trio
 
 from . import events
+from ._early_signals import HANDLED_SIGNALS
 from .errors import leaf_errors
 from .kernel import Kernel
 
 __all__ = ["HANDLED_SIGNALS", "HostState", "held_signals", "run_until_stopped"]
 
-HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-
 
 class HostState(enum.Enum):
     """What a host does when a signal arrives."""
--- a/tests/cooperative/test_imports.py
+++ b/tests/cooperative/test_imports.py
@@ -31,3 +31,26 @@
 )
 def test_a_program_imports_only_its_own_parts(program, unused):
     assert not modules_of(f"cooperative.{program}_program") & unused
+
+
+def test_a_program_holds_signals_back_before_its_first_import():
+    """One that comes earlier ends the process."""
+    code = """
+import os, signal, sys
+known = set(sys.modules)
+
+def print_imported(*arguments):
+    print(*set(sys.modules) - known, flush=True)
+    os._exit(0)
+
+signal.pthread_sigmask = print_imported
+exec(open("platform/run.py").read())
+"""
+    finished = subprocess.run(
+        [sys.executable, "-S", "-c", code],
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=ROOT,
+    )
+    assert finished.stdout.split() == []
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -2,6 +2,9 @@
 
 import os
 import signal
+import subprocess
+import sys
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -14,7 +17,10 @@
 from currantwell.kernel import Kernel, ServiceName
 from currantwell.process import HANDLED_SIGNALS, run_until_stopped
 from tests.builders import a_submission
-from tests.processes import one_host
+from tests.processes import STOP_TIMEOUT_S, one_host, write_settings
+
+MODULE = (sys.executable, "-m", "currantwell")
+SCRIPT = (str(Path(sys.executable).with_name("currantwell")),)
 
 
 class SlowService:
@@ -176,3 +182,42 @@
         while host.popen.poll() is None:
             await trio.sleep(0.05)
         assert host.popen.returncode == 0
+
+
+def start_until_importing(library, *arguments):
+    """Start a process and return it while it imports a library."""
+    process = subprocess.Popen(
+        arguments, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+    )
+    maps = Path(f"/proc/{process.pid}/maps")
+    while library not in maps.read_text():
+        assert process.poll() is None
+    return process
+
+
+# `currantwell` imports ctypes first of all, and msgspec after trio.
+@pytest.mark.parametrize("library", ["_ctypes", "msgspec"])
+@pytest.mark.parametrize("program", [MODULE, SCRIPT], ids=["module", "script"])
+def test_a_sighup_while_a_host_imports_its_libraries_does_not_end_it(
+    tmp_path, program, library
+):
+    path = write_settings(
+        tmp_path, id="h", data_centre="valdres", data_folder=tmp_path / "data"
+    )
+    host = (*program, "host", "run", "--settings", str(path))
+    with start_until_importing(library, *host) as process:
+        process.send_signal(signal.SIGHUP)
+        try:
+            assert b"url" in process.stdout.readline()
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(STOP_TIMEOUT_S) == 0
+        finally:
+            process.kill()
+
+
+@pytest.mark.parametrize("program", [MODULE, SCRIPT], ids=["module", "script"])
+def test_ctrl_c_ends_another_command_while_it_imports_its_libraries(program):
+    command = (*program, "status", "--url", "http://127.0.0.1:9")
+    with start_until_importing("_ctypes", *command) as process:
+        process.send_signal(signal.SIGINT)
+        assert process.wait(STOP_TIMEOUT_S) == -signal.SIGINT
