Test channels whose send task waits in the middle of a frame

No test failed without `not self._sending` in Channel._write: a message that is sent while the send task waits, when the peer has just made room, would be written into the frame that is half sent.

--- a/tests/fleet/test_channel.py
+++ b/tests/fleet/test_channel.py
@@ -1,6 +1,8 @@
 """Channels: complete messages in order, and detection of a lost peer."""
 
+import socket
 import time
+from contextlib import suppress
 from functools import partial
 
 import trio
@@ -10,6 +12,8 @@
     PING_INTERVAL_S,
     SILENCE_TIMEOUT_S,
     Channel,
+    _decoder,
+    _take_frames,
     accept_channel,
     encode,
     open_channel,
@@ -164,6 +168,66 @@
     nursery.cancel_scope.cancel()
 
 
+async def connected_to_socket(nursery):
+    """Return a channel that runs, and the socket of its other end."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+        channel = await open_channel(f"127.0.0.1:{port}")
+        peer, _ = listener.accept()
+    peer.setblocking(False)
+    nursery.start_soon(channel.run)
+    await trio.testing.wait_all_tasks_blocked()
+    return channel, peer
+
+
+async def test_a_message_does_not_land_inside_a_frame_that_is_half_sent(nursery):
+    channel, peer = await connected_to_socket(nursery)
+    sent = [ConfigurationUpdate(a_configuration(number)) for number in range(20_000)]
+    for message in sent:
+        channel.send(message)
+    await trio.testing.wait_all_tasks_blocked()
+    assert channel._sending
+    assert not channel._unsent
+    received = bytearray()
+
+    def read():
+        with suppress(BlockingIOError):
+            while data := peer.recv(1 << 20):
+                received.extend(data)
+
+    # There is room again before the task that sends notices it.
+    read()
+    channel.send(CancelJob(1))
+    with trio.fail_after(10):
+        while channel._sending or channel._unsent:
+            await trio.sleep(0.001)
+            read()
+    read()
+    peer.close()
+    messages = [_decoder.decode(frame) for frame in _take_frames(received)]
+    assert [each for each in messages if not isinstance(each, Ping)] == [
+        *sent,
+        CancelJob(1),
+    ]
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_silent_peer_is_noticed_while_a_write_to_it_is_blocked(nursery):
+    channel, peer = await connected_to_socket(nursery)
+    nursery.start_soon(receive, channel, [])
+    await trio.testing.wait_all_tasks_blocked()
+    # More than the kernel's buffers hold, less than the channel queues.
+    for number in range(20_000):
+        channel.send(ConfigurationUpdate(a_configuration(number)))
+    assert not channel.closed
+    with trio.move_on_after(5 * SILENCE_TIMEOUT_S):
+        while not channel.closed:
+            await trio.sleep(0.02)
+    assert channel.closed
+    peer.close()
+    nursery.cancel_scope.cancel()
+
+
 async def test_a_peer_that_goes_away_closes_the_channel(nursery):
     near, far = await connected(nursery)
     nursery.start_soon(receive, far, [])
