Test that a change at the scheduler is reported soon

The tests of capacity reports use a stand-in that calls the hook itself, so none failed when the Scheduler did not call on_capacity_change: other hosts would learn of a change at the next repeat only. The new test runs a real LocalDispatch and Dispatcher. It fails with the call taken out of the Scheduler (two runs: no report in half the interval of the repeats) and passes with it. `reporting` takes a maker of the dispatcher; its other tests are as before.

--- a/tests/fleet/test_dispatcher_links.py
+++ b/tests/fleet/test_dispatcher_links.py
@@ -12,10 +12,14 @@
 from currantwell.fleet.channel import open_channel
 from currantwell.fleet.dispatcher_links import DispatcherLinks
 from currantwell.fleet.fleet_state import Ownership
+from currantwell.fleet.fleet_view import FleetView
 from currantwell.fleet.groups import EndpointGroup
+from currantwell.fleet.local_dispatch import LocalDispatch
 from currantwell.fleet.messages import CapacityReport, HostHello
 from currantwell.ids import DataCentre, Epoch, HostId, Incarnation
+from tests.builders import an_announcement
 from tests.step_counter import StepCounter
+from tests.test_dispatcher import Bench
 
 HOME = DataCentre("valdres")
 GROUP = EndpointGroup(HOME)
@@ -42,13 +46,13 @@
 
 
 @asynccontextmanager
-async def reporting(data_centre=HOME):
+async def reporting(data_centre=HOME, make_local=FakeLocal):
     """Yield a dispatcher and the reports that another host receives from it."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = f"127.0.0.1:{listener.getsockname()[1]}"
     hello = HostHello(HostId("h1"), Incarnation("a"), HOME, address)
     ownership = Ownership(GROUP, Epoch(1), hello.host, hello.incarnation)
-    local = FakeLocal(ownership)
+    local = make_local(ownership)
     view = SimpleNamespace(
         ownerships=[ownership], set_dispatching=lambda dispatching: None
     )
@@ -94,3 +98,21 @@
             with trio.fail_after(0.5 * max_update_interval_s(1)):
                 while not received or received[-1].free != free:
                     await trio.sleep(0.001)
+
+
+async def test_a_change_at_the_scheduler_is_reported_before_the_next_repeat():
+    bench = Bench()
+
+    def make_local(ownership):
+        hello = HostHello(HostId("h1"), Incarnation("a"), HOME, "127.0.0.1:1")
+        return LocalDispatch(
+            ownership, FleetView(hello, []), lambda ownership: bench.dispatcher
+        )
+
+    async with reporting(make_local=make_local) as (_, received):
+        for slots in (4, 8, 4, 8):
+            await trio.sleep(0.03)
+            await bench.dispatcher.announce(an_announcement(slots=slots))
+            with trio.fail_after(0.5 * max_update_interval_s(1)):
+                while not received or received[-1].slots != slots:
+                    await trio.sleep(0.001)
