Test that signals end no host while its process exits

Two mechanisms had no test: held_signals ignores signals at its end, since Python restores the default action of other handlers as it exits; and the command line runs a host within held_signals. The tests send a signal while the interpreter clears its modules. Without SIG_IGN all four fail (-15, -2, -1); without held_signals in cli/host.py the one of the command line fails (-15). They pass with both.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -221,3 +221,42 @@
     with start_until_importing("_ctypes", *command) as process:
         process.send_signal(signal.SIGINT)
         assert process.wait(STOP_TIMEOUT_S) == -signal.SIGINT
+
+
+@pytest.mark.parametrize("number", HANDLED_SIGNALS)
+def test_no_signal_ends_a_process_while_the_interpreter_exits(number):
+    # Threads receive signals that the main thread blocks.
+    code = f"""
+import os, signal
+from currantwell.process import held_signals
+
+class Last:
+    def __del__(self, os=os, signal=signal):
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, [{number:d}])
+        os.kill(os.getpid(), {number:d})
+
+last = Last()
+with held_signals():
+    pass
+"""
+    finished = subprocess.run([sys.executable, "-c", code], check=False)
+    assert finished.returncode == 0
+
+
+def test_no_signal_ends_host_run_before_or_after_its_services(tmp_path):
+    # Under another name, so that the package doesn't block the signals itself.
+    code = f"""
+import os, signal
+from currantwell.cli import host
+
+class Last:
+    def __del__(self, os=os, signal=signal):
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])
+        os.kill(os.getpid(), signal.SIGHUP)
+
+last = Last()
+host._run = lambda path: os.kill(os.getpid(), signal.SIGTERM) or 0
+host.host(["run", "--settings", {str(tmp_path / "host.ini")!r}])
+"""
+    finished = subprocess.run([sys.executable, "-c", code], check=False)
+    assert finished.returncode == 0
