--- a/tests/cooperative/test_imports.py
+++ b/tests/cooperative/test_imports.py
@@ -62,3 +62,26 @@
     # `runpy` itself causes a few.
     assert int(collections) < 20
     assert enabled == "True"
+
+
+def test_a_program_holds_signals_back_before_its_first_import():
+    """One that comes earlier ends the process."""
+    code = """
+import os, signal, sys
+known = set(sys.modules)
+
+def print_imported(*arguments):
+    print(*set(sys.modules) - known, flush=True)
+    os._exit(0)
+
+signal.pthread_sigmask = print_imported
+exec(open("platform/run.py").read())
+"""
+    finished = subprocess.run(
+        [sys.executable, "-S", "-c", code],
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=ROOT,
+    )
+    assert finished.stdout.split() == []
--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -9,7 +9,7 @@
 from currantwell.consensus_leader import RaftTiming
 from currantwell.errors import AgreementLost
 from currantwell.journal import DiskJournal
-from currantwell.raft_messages import ProposalSent
+from currantwell.raft_messages import ConfirmAsked, ProposalSent
 from tests.builders import AgreementCluster, FillableDisk
 
 RECOVERY_TIMEOUT_S = 2.0
@@ -241,13 +241,44 @@
         slow = next(run for run in cluster.running.values() if run is not leader)
         disks.disks[slow.host].room_bytes = 7
         await leader.agreement.propose(b"one")
-        await trio.sleep(1.0)
+        # Long enough for several heartbeats, each of which would stay.
+        await trio.sleep(3.0)
         transport = slow.agreement._transport
-        assert sum(map(len, transport._open_requests.values())) < 10
+        assert sum(map(len, transport._open_requests.values())) <= 2
         disks.disks[slow.host].room_bytes = None
         await slow.agreement.read_barrier()
 
 
+async def test_reads_at_a_leader_whose_disk_fills_hold_no_request_of_another_host(
+    tmp_path,
+):
+    """Each would hold one of 64 places until there is room."""
+    async with cluster_on_disks(tmp_path) as (cluster, disks):
+        leader = await cluster.leader()
+        other = next(host for host in cluster.hosts if host != leader.host)
+        disks.disks[leader.host].room_bytes = 7
+        held = set()
+
+        async def read(number):
+            held.add(number)
+            await leader.agreement._handle_read_request(other, ConfirmAsked())
+            held.remove(number)
+
+        async def propose():
+            with suppress(AgreementLost):
+                await leader.agreement.propose(b"refused", 0.1)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(propose)
+            for number in range(70):
+                nursery.start_soon(read, number)
+            await trio.sleep(2.0)
+            still_held = len(held)
+            nursery.cancel_scope.cancel()
+        assert leader.agreement.leader != leader.host
+    assert still_held == 0
+
+
 async def test_a_host_that_starts_on_a_full_disk_waits_for_room(tmp_path):
     async with cluster_on_disks(tmp_path) as (cluster, disks):
         leader = await cluster.leader()
