Name the run of a host in its module, and say in tests what may fail

Comments of tests told what had once gone wrong; they now say what can fail. The class that runs a host is `_HostRun`. No change of behaviour; formatter, linter and types pass.

--- a/currantwell/process.py
+++ b/currantwell/process.py
@@ -1,4 +1,4 @@
-"""The life of a process that runs a host: its signals, start, drain and end.
+"""Signals, start, drain and end of a process that runs a host.
 
 Invariant: from `held_signals` until the process ends no signal that it handles has its
 default action, which would end the process at once and cut off all requests.
@@ -84,13 +84,13 @@
     bool
         Whether all services drained in time.
     """
-    life = _HostLife(host, kernel, run, announce, drain, reload)
+    host_run = _HostRun(host, kernel, run, announce, drain, reload)
     try:
         with _received_signals() as signals:
-            drained = await life.run(signals)
+            drained = await host_run.run(signals)
     except Exception as error:
         kinds = sorted({type(each).__name__ for each in leaf_errors(error)})
-        events.HOST_FAILED.log(host=host, state=life.state.value, errors=kinds)
+        events.HOST_FAILED.log(host=host, state=host_run.state.value, errors=kinds)
         raise
     events.HOST_STOPPED.log(host=host, drained=drained)
     return drained
@@ -106,7 +106,7 @@
             signal.pthread_sigmask(signal.SIG_SETMASK, mask)
 
 
-class _HostLife:
+class _HostRun:
     """Runs the services of a host once; see `run_until_stopped`."""
 
     def __init__(
--- a/currantwell/raft_agreement.py
+++ b/currantwell/raft_agreement.py
@@ -5,8 +5,8 @@
 it is applied on this host.
 
 A member whose disk refuses a write repeats the write until it succeeds. Meanwhile it
-doesn't lead, is to the others like one that is cut off, and refuses its callers soon,
-so that they ask another host.
+doesn't lead, ignores the messages of other members, and refuses its callers soon, so
+that they ask another host.
 """
 
 import random
@@ -394,7 +394,7 @@
         write: Callable[[], Awaitable[object]],
         on_retry: Callable[[], None] = lambda: None,
     ) -> None:
-        """Repeat a write until the disk takes it."""
+        """Repeat a write until it succeeds."""
         started_s, retry_s = now_s(), MIN_WRITE_RETRY_S
         while True:
             try:
--- a/tests/cooperative/test_programs.py
+++ b/tests/cooperative/test_programs.py
@@ -170,7 +170,7 @@
 
 @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
 async def test_a_signal_to_a_draining_host_cuts_no_request(tmp_path, number):
-    # Its default action ended the process in the middle of the drain.
+    # The default action of each signal ends the process at once.
     async with deployed(tmp_path) as deployment:
         for worker in deployment.workers:
             worker.task_s = 0.6
@@ -197,7 +197,7 @@
 
 
 async def test_a_host_that_drains_beside_a_long_job_ends_before_it_is_killed(tmp_path):
-    # It accepted requests until the end of its grace time, and was killed with them.
+    # Requests accepted at the end of the grace time are cut off with the process.
     async with deployed(tmp_path) as deployment:
         await deployment.put(5, timeout_ms=20_000, target_duration_ms=9_000)
         for machine in deployment.entries:
--- a/tests/fleet/test_channel.py
+++ b/tests/fleet/test_channel.py
@@ -133,8 +133,7 @@
 
 
 async def test_a_message_costs_its_sender_no_pass_of_the_event_loop(nursery):
-    # A dispatcher that reports its capacity to many hosts spent most of its time at
-    # rest in the tasks that wrote the reports.
+    # A dispatcher at rest mostly reports its capacity to many hosts.
     messages = 100
     near, far = await connected(nursery)
     received = []
@@ -254,7 +253,7 @@
 
 
 async def test_channels_at_rest_share_their_wake_ups(nursery):
-    # Each had a timer of its own: a third of the wake-ups of a host with 28 channels.
+    # A timer of each channel would wake up the host for each of them.
     intervals, channels = 10, 10
     for _ in range(channels):
         for end in await connected(nursery):
--- a/tests/fleet/test_dispatcher_links.py
+++ b/tests/fleet/test_dispatcher_links.py
@@ -77,7 +77,7 @@
 
 @pytest.mark.parametrize("data_centre", [HOME, "numedal"])
 async def test_a_dispatcher_at_rest_looks_only_when_a_report_is_due(data_centre):
-    # It looked fifty times a second, the largest part of a host's processor at rest.
+    # Each pass of the loop costs processor time on a host at rest.
     counter = StepCounter()
     async with reporting(data_centre) as (_, received):
         received.clear()
--- a/tests/fleet/test_entry_drain.py
+++ b/tests/fleet/test_entry_drain.py
@@ -73,7 +73,7 @@
 
 @pytest.mark.parametrize("busy", ["requests_s", "jobs_s", "dispatch_s"])
 async def test_jobs_are_refused_in_time_whatever_else_lasts(autojump_clock, busy):
-    # A dispatcher's long job let the host accept requests until it was killed.
+    # Nothing that lasts may delay the time from which requests are refused.
     host = Host(**{busy: 60.0})
     await host.run()
     assert host.closed_s == pytest.approx(ACCEPT_SHARE * GRACE_S, abs=2 * POLL_S)
--- a/tests/test_call_client.py
+++ b/tests/test_call_client.py
@@ -120,8 +120,7 @@
 
 
 async def test_a_call_over_an_open_connection_waits_only_for_its_reply():
-    # Most of the processor time of a call was spent in checkpoints that waited for
-    # nothing.
+    # Checkpoints that wait for nothing cost more than the rest of a call.
     calls = 50
     counter = StepCounter()
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -480,7 +480,7 @@
 
 
 async def test_heartbeats_at_rest_cause_no_plan(nursery, clock, monkeypatch):
-    # Each poll of each endpoint at rest woke the dispatch loop.
+    # A heartbeat that changes nothing leaves the dispatch loop asleep.
     bench = Bench()
     await nursery.start(bench.dispatcher.run)
     await bench.dispatcher.announce(E1)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -119,7 +119,7 @@
 
 @pytest.mark.parametrize("drain_first", [True, False])
 async def test_a_request_read_as_the_server_closes_is_answered(drain_first):
-    # The socket of an idle connection was closed by another task than its reader.
+    # Only the task that reads a connection knows whether a request has arrived.
     for _ in range(4):
         for turns in range(14):
             assert await read_and_unanswered(turns, drain_first) == []
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,4 +1,4 @@
-"""Signals of a process at each moment of its life, in the loop and as a process."""
+"""Signals during start, service, drain and exit, in the loop and as a process."""
 
 import os
 import signal
