Let the host that forms a cluster lead it, and send its members first

Cause: the other hosts learnt the name of a new cluster from the vote request of its first host, and its members only from the second request of the leader, since a leader sends from its newest entry on and goes back when that is refused. A first host whose disk fills, or that is lost, between the two leaves hosts that belong to a cluster, are none of its members by their own logs, and can neither elect a leader nor form another cluster. The class: a state that is announced before what it rests on.

Ruled out: refused votes between the two others (they never campaigned: only hosts that are in no membership ask to join where no voters are replaced).

Change: the former leads the first term without an election, once the cluster is synced; no other member can vote or campaign in that term. Its first request begins with the entry of the membership. Both are stored by one write at the others.

--- a/currantwell/consensus.py
+++ b/currantwell/consensus.py
@@ -31,7 +31,7 @@
     host_of,
 )
 from .consensus_output import Output
-from .consensus_voting import NEVER_S, ElectionState, Role
+from .consensus_voting import FIRST_TERM, NEVER_S, ElectionState, Role
 from .ids import HostId
 
 __all__ = ["Consensus", "Role"]
@@ -48,15 +48,19 @@
     # Inputs from the caller.
 
     def form_cluster(self, cluster: ClusterId, membership: Membership) -> None:
-        """Form a new cluster.
+        """Form a new cluster and lead it once this is synced.
 
-        Only one member may do so, and only while the logs of all members are empty.
+        Only one member may do so, and only while the logs of all members are empty. It
+        leads without an election, since nobody else can vote or be elected in the first
+        term: no other member knows the cluster before it has received the membership.
         """
         assert self._hard_state.cluster is None
         assert not self.log.last_index
-        self._set_hard_state(HardState(cluster, 1))
-        self._append([Entry(1, 1, membership=membership)])
-        self._election_deadline_s = self._now_s
+        self._set_hard_state(HardState(cluster, FIRST_TERM, self.member))
+        self._append([Entry(1, FIRST_TERM, membership=membership)])
+        self.role = Role.CANDIDATE
+        self._votes = set(membership.voters) - {self.member}
+        self._reset_election_timer()
 
     def tick(self, now_s: float, jitter: float) -> None:
         """Advance the clock and start whatever is due, such as an election.
--- a/currantwell/consensus_leader.py
+++ b/currantwell/consensus_leader.py
@@ -147,10 +147,17 @@
         Intervals between requests.
     now_s : float
         Time at which the term started.
+    next_index : int
+        Index of the first entry to send to the other members.
     """
 
     def __init__(
-        self, member: MemberId, log: Log, timing: RaftTiming, now_s: float
+        self,
+        member: MemberId,
+        log: Log,
+        timing: RaftTiming,
+        now_s: float,
+        next_index: int,
     ) -> None:
         self.start_index = log.last_index + 1
         self.round = 0
@@ -160,10 +167,13 @@
         self._log = log
         self._timing = timing
         self._requested_round = 0
-        self.update_peers(now_s)
+        self._track_peers(now_s, next_index)
 
     def update_peers(self, now_s: float) -> None:
         """Track the progress of exactly the other members in the membership."""
+        self._track_peers(now_s, self._log.last_index + 1)
+
+    def _track_peers(self, now_s: float, next_index: int) -> None:
         membership = self._log.membership
         nonvoters = set(membership.nonvoters)
         previous_peers = self.peers
@@ -175,7 +185,7 @@
             if member in nonvoters:
                 heartbeat_interval_s = self._timing.nonvoter_heartbeat_s
             new_progress = Progress(
-                self._log.last_index + 1,
+                next_index,
                 now_s,
                 heartbeat_interval_s,
                 self._timing.resend_s,
--- a/currantwell/consensus_voting.py
+++ b/currantwell/consensus_voting.py
@@ -25,9 +25,11 @@
 )
 from .consensus_output import Output
 
-__all__ = ["NEVER_S", "ElectionState", "Role"]
+__all__ = ["FIRST_TERM", "NEVER_S", "ElectionState", "Role"]
 
 NEVER_S = float("inf")
+# Term in which a member forms a cluster.
+FIRST_TERM = 1
 
 
 class Role(enum.Enum):
@@ -223,8 +225,14 @@
     def _become_leader(self) -> None:
         self.role = Role.LEADER
         self.leader = self.member
+        # Only a member that has formed its cluster begins a term with entries of it.
+        others_lack_newest = self.log.last_term == self.term
         self._leader_state = LeaderState(
-            self.member, self.log, self._timing, self._now_s
+            self.member,
+            self.log,
+            self._timing,
+            self._now_s,
+            self.log.last_index + (not others_lack_newest),
         )
         self._append([Entry(self.log.last_index + 1, self.term)])
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -18,13 +18,16 @@
 from currantwell.consensus_log import Log
 from currantwell.consensus_messages import (
     AppendReply,
+    ClusterId,
     Entry,
     HardState,
+    MemberId,
     Membership,
     Snapshot,
     VoteReply,
 )
-from tests.members import SNAPSHOT_EVERY, SimulatedCluster
+from currantwell.journal import MemoryJournal
+from tests.members import SNAPSHOT_EVERY, Node, SimulatedCluster
 
 SETTINGS = settings(
     derandomize=True,
@@ -434,3 +437,41 @@
     assert log.membership_at(1) == first
     log.compact(Snapshot(1, 1, log.membership_at(1)), 0)
     assert (log.membership_at(1), log.membership) == (first, second)
+
+
+def test_other_members_learn_of_a_cluster_and_its_members_in_one_message():
+    membership = Membership(tuple(MemberId(f"host-{i}/1") for i in range(3)))
+    core = Consensus(membership.voters[0])
+    core.form_cluster(ClusterId("c"), membership)
+    formed = core.take_output()
+    assert not formed.messages and not formed.replies
+    core.mark_synced(formed)
+    requests = core.take_output().messages
+    assert {envelope.to for envelope in requests} == set(membership.voters[1:])
+    for envelope in requests:
+        assert envelope.message.entries[0].membership == membership
+
+
+@pytest.mark.parametrize("reached", [1, 2])
+@pytest.mark.parametrize("disk_lost", [False, True])
+def test_the_others_elect_a_leader_if_the_first_is_lost_as_it_forms_the_cluster(
+    reached, disk_lost
+):
+    cluster = SimulatedCluster(3)
+    first = cluster.nodes["host-0"]
+    while first.core.role is not Role.LEADER or not cluster.network:
+        cluster.process_output("host-0")
+    for _ in range(reached):
+        cluster.deliver(0)
+    if disk_lost:
+        cluster.nodes["host-0"] = Node(cluster, "host-0", 2, MemoryJournal())
+    cluster.isolate("host-0")
+    cluster.network.clear()
+    cluster.settle(5.0)
+    leader = cluster.leader()
+    assert leader is not None and leader.host != "host-0"
+    if disk_lost:
+        cluster.heal()
+        cluster.join("host-0")
+        cluster.settle(5.0)
+        assert cluster.nodes["host-0"].id in leader.core.membership.voters
--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -216,6 +216,22 @@
         assert not any(run.ended.is_set() for run in cluster.running.values())
 
 
+async def test_a_disk_that_fills_as_its_host_forms_the_cluster_holds_up_no_change(
+    tmp_path, nursery
+):
+    """The others can go on only if they know who the members are."""
+    cluster = AgreementCluster(nursery)
+    disks = FullDisks(cluster, tmp_path)
+    for name in cluster.hosts:
+        await cluster.start(name)
+    first = cluster.running[cluster.hosts[0]]
+    with trio.fail_after(RECOVERY_TIMEOUT_S):
+        while first.agreement.leader != first.host:
+            await trio.sleep(0)
+    disks.disks[first.host].room_bytes = 0
+    await change_as_operator(cluster, "after")
+
+
 async def test_a_leader_with_a_full_disk_leads_no_more_and_confirms_nothing(tmp_path):
     async with cluster_on_disks(tmp_path) as (cluster, disks):
         leader = await cluster.leader()
--- a/tests/test_raft_storage.py
+++ b/tests/test_raft_storage.py
@@ -63,14 +63,15 @@
     path, disk, room_bytes
 ):
     storage = await stored_member(path, disk)
+    before = storage.hard_state
     output = output_of_vote(storage, MEMBERS[1])
     assert output.replies[0].message.granted
     disk.room_bytes = room_bytes
     with pytest.raises(DiskUnavailable):
         await storage.save(output)
-    assert storage.hard_state.vote is None
+    assert storage.hard_state == before
     restarted = await stored_member(path, disk)
-    assert restarted.hard_state.vote is None
+    assert restarted.hard_state == before
     disk.room_bytes = None
     await storage.save(output)
     restarted = await stored_member(path, disk)
