Reserve the network of a deployment in tests

A deployment now holds a bound socket on its network, and passes over networks that are held. test_deployment fails without it.

--- a/tests/cooperative/deployment.py
+++ b/tests/cooperative/deployment.py
@@ -8,6 +8,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from contextlib import asynccontextmanager
@@ -63,12 +64,28 @@
         return (self.folder / f"{self.name}.log").read_text()
 
 
+def _reserve_network():
+    """Return a network that no other test run uses, with the socket that reserves it.
+
+    Test runs beside each other may count from the same network on.
+    """
+    for number in _networks:
+        network = f"127.{100 + number % 100}.{number // 100 % 250}"
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"{network}.1", CONTROL_PORT))
+        except OSError:
+            reservation.close()
+        else:
+            return network, reservation
+    raise RuntimeError("no network is free")
+
+
 class Deployment:
     """Three control hosts, and entry hosts and workers in three zones."""
 
     def __init__(self, folder, entries=3, workers=6, kind=Worker):
-        network = next(_networks)
-        self.network = f"127.{100 + network % 100}.{network // 100 % 250}"
+        self.network, self._reservation = _reserve_network()
         self.folder = folder
         self.controls = [
             self._machine(f"core-{zone}-1", zone, 10 + index, "control")
@@ -91,6 +108,12 @@
     def _machine(self, name, zone, last, program):
         return Machine(name, zone, f"{self.network}.{last}", program, self.folder)
 
+    def close(self):
+        """Kill all machines and give the network back."""
+        for machine in (*self.controls, *self.entries):
+            machine.kill()
+        self._reservation.close()
+
     def start(self, machine, first=True, seeds=None):
         machine.start(self.settings(machine, first, seeds))
 
@@ -317,5 +340,4 @@
             yield deployment
             nursery.cancel_scope.cancel()
     finally:
-        for machine in (*deployment.controls, *deployment.entries):
-            machine.kill()
+        deployment.close()
