Form a cluster on a slow disk as on a fast one

And a leader counted the time since its last tick, up to 0.3 s and the sync, as silence of the others. A member whose first entry is not synced doesn't campaign, and mark_synced gets the time. The test with a sync of 10 s fails without the change of _may_campaign (vote requests before the sync).

--- a/currantwell/consensus.py
+++ b/currantwell/consensus.py
@@ -60,7 +60,6 @@
         self._append([Entry(1, FIRST_TERM, membership=membership)])
         self.role = Role.CANDIDATE
         self._votes = set(membership.voters) - {self.member}
-        self._reset_election_timer()
 
     def tick(self, now_s: float, jitter: float) -> None:
         """Advance the clock and start whatever is due, such as an election.
@@ -231,8 +230,9 @@
             output.reads = self._leader_state.take_confirmed_reads(self.commit_index)
         return output
 
-    def mark_synced(self, output: Output) -> None:
+    def mark_synced(self, output: Output, now_s: float) -> None:
         """Record that the hard state, snapshot and entries of an output are synced."""
+        self._now_s = max(self._now_s, now_s)
         if output.entries:
             newest = output.entries[-1]
             if self.log.term_at(newest.index) == newest.term:
--- a/currantwell/consensus_voting.py
+++ b/currantwell/consensus_voting.py
@@ -129,8 +129,11 @@
 
         The second case matters if only this member has the entry of its own removal:
         it refuses its vote to members that lack the entry, so if it did not campaign
-        either, possibly no member could be elected.
+        either, possibly no member could be elected. A member whose first entry is not
+        synced waits for that.
         """
+        if not self._synced_index and not self.log.snapshot.index:
+            return False
         voters = self.membership.voters
         if self.log.membership_index > self.commit_index:
             voters += self.log.earlier_membership.voters
--- a/currantwell/raft_agreement.py
+++ b/currantwell/raft_agreement.py
@@ -467,7 +467,7 @@
             self._transport.send(output.messages, nursery)
             if output.needs_sync:
                 await self._save(output, nursery)
-                self._core.mark_synced(output)
+                self._core.mark_synced(output, now_s())
                 self._wake()
             self._transport.send_replies(requests, output.replies, nursery)
             self._apply_all(output)
--- a/tests/members.py
+++ b/tests/members.py
@@ -67,7 +67,7 @@
         output, self.pending = self.pending, None
         if output is not None:
             run_synchronously(self.storage.save(output))
-            self.core.mark_synced(output)
+            self.core.mark_synced(output, self.cluster.now_s)
             self._process_synced(output)
             return True
         output = self.core.take_output()
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -439,13 +439,17 @@
     assert (log.membership_at(1), log.membership) == (first, second)
 
 
-def test_other_members_learn_of_a_cluster_and_its_members_in_one_message():
+@pytest.mark.parametrize("sync_s", [0.01, 10.0])
+def test_other_members_learn_of_a_cluster_and_its_members_in_one_message(sync_s):
     membership = Membership(tuple(MemberId(f"host-{i}/1") for i in range(3)))
     core = Consensus(membership.voters[0])
     core.form_cluster(ClusterId("c"), membership)
     formed = core.take_output()
-    assert not formed.messages and not formed.replies
-    core.mark_synced(formed)
+    core.tick(0.0, 0.5)
+    core.tick(sync_s, 0.5)
+    assert not formed.messages and not formed.replies and not core.take_output()
+    core.mark_synced(formed, sync_s)
+    core.tick(sync_s + 0.01, 0.5)
     requests = core.take_output().messages
     assert {envelope.to for envelope in requests} == set(membership.voters[1:])
     for envelope in requests:
