Keep a server running when it refuses to read on

What callers saw: one malformed request ended the whole HTTP server, and with it the host: every connection was cut and every request in progress lost. So did a head larger than 16 KiB, a malformed length or chunk, and a second request sent after one that says "Connection: close".

Cause: on such a request Hypercorn closes the connection from inside the call that hands it the data, in the task that reads. That task then waits for the closed socket. trio.SocketStream raises ClosedResourceError there; a direct stream passed the descriptor -1 to the event loop, which raises ValueError, and nothing between the connection and the run of the host takes that.

The existing test of a malformed request passed without it; why was not looked at.

Why it works: a wait on a closed stream raises what trio's streams raise, which the connection, the channel and the client of calls already take for its end.

--- a/currantwell/direct_stream.py
+++ b/currantwell/direct_stream.py
@@ -57,16 +57,18 @@
         sent = self.send_now(data)
         with memoryview(data) as remaining:
             while sent < len(remaining):
-                await trio.lowlevel.wait_writable(self.socket)
+                await self.wait_send_all_might_not_block()
                 sent += self.send_now(remaining[sent:])
 
     async def wait_send_all_might_not_block(self) -> None:
         """Return once `send_all` may be able to send without waiting."""
+        self._check_open()
         await trio.lowlevel.wait_writable(self.socket)
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Return received data as soon as there is some, none at the end of stream."""
         while True:
+            self._check_open()
             await trio.lowlevel.wait_readable(self.socket)
             data = self.receive_now(max_bytes)
             if data is not None:
@@ -103,6 +105,11 @@
         self.close()
         await trio.lowlevel.checkpoint()
 
+    def _check_open(self) -> None:
+        # The event loop raises ValueError for a closed socket.
+        if self.socket.fileno() < 0:
+            raise trio.ClosedResourceError("this stream is closed")
+
 
 async def open_direct_stream(host: str, port: int) -> DirectStream:
     """Connect to an IPv4 address.
--- a/tests/test_direct_stream.py
+++ b/tests/test_direct_stream.py
@@ -56,6 +56,14 @@
         near.send_now(b"x")
 
 
+async def test_a_closed_stream_can_be_waited_for_no_more():
+    near, _far = a_pair()
+    near.close()
+    for wait in (near.receive_some, near.wait_send_all_might_not_block):
+        with pytest.raises(trio.ClosedResourceError):
+            await wait()
+
+
 async def test_a_reset_connection_is_broken():
     near, far = a_pair()
     far.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -1,5 +1,6 @@
 """Connections of an HTTP server: kept open, failing, closed as the server drains."""
 
+import pytest
 import trio
 import trio.testing
 
@@ -116,6 +117,31 @@
     nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"nonsense\r\n\r\n", id="malformed"),
+        pytest.param(
+            b"GET / HTTP/1.1\r\nhost: a\r\nx: %070000d\r\n\r\n" % 0, id="large"
+        ),
+        pytest.param(REQUEST.replace(b"length: 4", b"length: x"), id="length"),
+        pytest.param(
+            REQUEST.replace(b"host: a", b"host: a\r\nconnection: close") + REQUEST,
+            id="after the last",
+        ),
+    ],
+)
+async def test_a_server_outlives_a_connection_that_it_refuses_to_read(nursery, data):
+    server, refused = await served(nursery, Echo())
+    await refused.send_all(data)
+    await read_reply(refused)
+    await trio.sleep(0.05)
+    stream = await trio.open_tcp_stream(*server.address)
+    await stream.send_all(REQUEST)
+    assert await read_reply(stream) == (200, b"body")
+    nursery.cancel_scope.cancel()
+
+
 async def test_draining_closes_idle_connections_and_completes_requests(nursery):
     app = Echo()
     server, busy = await served(nursery, app)
