Pass no more of a body to an application that has replied

What callers saw: a reply to a request whose body nobody reads arrived, but the connection stayed for good, also after its client had left, with its descriptor; a client that sends its body before it reads waited until its own timeout. The request counted as in progress for good, so each drain of the host lasted to its limit. It takes a body that arrives in more than ten parts after the host refused it: an unknown queue, no configuration yet, or a body above the limit.

Cause: the events of a request wait in a queue of ten. The reply ends with one more event, the disconnect, for which there is no room once ten parts of the body are there, so the task of the application waited for itself; the task that reads the connection waited for the same room.

Why it works: the disconnect closes the queue in place of taking a place in it, which wakes a reader that waits for room; the application receives what was queued and then the disconnect, as often as it asks.

Evidence: the new test fails without the change (no end of the connection in 5 s).

--- a/currantwell/http_connection.py
+++ b/currantwell/http_connection.py
@@ -11,6 +11,7 @@
 
 import math
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 import h11
@@ -183,16 +184,25 @@
         sender, receiver = trio.open_memory_channel[Any](config.max_app_queue_size)
 
         async def put(event: Any) -> None:
-            try:
-                sender.send_nowait(event)
-            except trio.WouldBlock:
-                await sender.send(event)
+            if event["type"] == "http.disconnect":
+                # Also ends a wait for room, which an application that has replied
+                # doesn't make.
+                sender.close()
+                return
+            with suppress(trio.ClosedResourceError):
+                try:
+                    sender.send_nowait(event)
+                except trio.WouldBlock:
+                    await sender.send(event)
 
         async def receive() -> Any:
             try:
-                return receiver.receive_nowait()
-            except trio.WouldBlock:
-                return await receiver.receive()
+                try:
+                    return receiver.receive_nowait()
+                except trio.WouldBlock:
+                    return await receiver.receive()
+            except trio.EndOfChannel:
+                return {"type": "http.disconnect"}
 
         assert self._nursery is not None
         self._nursery.start_soon(_run_app, app, config, scope, receive, send)
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -8,6 +8,8 @@
 from tests.step_counter import StepCounter
 
 REQUEST = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody"
+CHUNKED_HEAD = b"POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+MANY_CHUNKS = 100
 MANY_BYTES = 8 * 1024 * 1024
 
 
@@ -142,6 +144,24 @@
     nursery.cancel_scope.cancel()
 
 
+async def reply_at_once(scope, receive, send):
+    """Application that replies without reading the body."""
+    length = (b"content-length", b"2")
+    head = {"type": "http.response.start", "status": 200, "headers": [length]}
+    await send(head)
+    await send({"type": "http.response.body", "body": b"ok"})
+
+
+async def test_a_body_that_nobody_reads_holds_no_connection_open(nursery):
+    server, stream = await served(nursery, reply_at_once)
+    await stream.send_all(CHUNKED_HEAD + MANY_CHUNKS * b"1\r\nx\r\n")
+    assert await read_reply(stream) == (200, b"ok")
+    with trio.fail_after(5):
+        assert await stream.receive_some() == b""
+    assert server.in_progress == 0
+    nursery.cancel_scope.cancel()
+
+
 async def test_draining_closes_idle_connections_and_completes_requests(nursery):
     app = Echo()
     server, busy = await served(nursery, app)
