Read requests to their end that are replied to before it

What callers saw: a client whose request was refused before its body had arrived (no configuration yet, an unknown queue, a body or head above the limit) got a reset while it still sent, which most clients report in place of the reply. A reply that came before the end of the body also promised to keep the connection and closed it, so that the next request of the same client was cut.

Cause: the connection was closed as soon as the reply was sent; data that arrives after that, or is not read yet, makes the kernel reset the connection.

Why it works: such a reply says "Connection: close", the connection then sends its end of stream and reads what the client still sends, for 2 s at most (RFC 9112, 9.6). All other connections are closed as before.

Evidence: the four new tests fail without the change; that of the limit also without the limit, that of the header without the header.

--- a/currantwell/http_connection.py
+++ b/currantwell/http_connection.py
@@ -31,6 +31,8 @@
 RECEIVE_BYTES = 64 * 1024
 # Longer than a request is under way from a client to the host.
 LINGER_S = 0.1
+# Time for the rest of a request that is replied to before its end.
+DISCARD_S = 2.0
 
 
 class HttpConnection:
@@ -57,6 +59,7 @@
     ) -> None:
         self._idle = True
         self._closing = False
+        self._ended = False
         self._receiving: trio.CancelScope | None = None
         self._app = app
         self._config = config
@@ -71,9 +74,10 @@
         try:
             client = parse_socket_addr(socket.family, socket.getpeername())
             server = parse_socket_addr(socket.family, socket.getsockname())
+            reply: Any = self._reply
             async with _RequestTasks() as tasks:
                 self._protocol = ProtocolWrapper(
-                    self._app,
+                    reply,
                     self._config,
                     self._context,
                     tasks,
@@ -97,8 +101,20 @@
         if self._idle and self._receiving is not None:
             self._receiving.cancel()
 
+    async def _reply(self, scope: Any, receive: Any, send: Any) -> None:
+        """Have the application reply; a reply before the end of the body says so."""
+
+        async def send_event(event: Any) -> None:
+            starts = event["type"] == "http.response.start"
+            if starts and self._client_state is h11.SEND_BODY:
+                headers = [*event.get("headers", ()), (b"connection", b"close")]
+                event = {**event, "headers": headers}
+            await send(event)
+
+        await self._app(scope, receive, send_event)
+
     async def _read_loop(self) -> None:
-        while not (self._closing and self._idle):
+        while not (self._ended or (self._closing and self._idle)):
             try:
                 data = await self._receive()
             except (trio.ClosedResourceError, trio.BrokenResourceError):
@@ -110,6 +126,8 @@
             if not data:
                 break
         await self._protocol.handle(Closed())
+        if self._ended:
+            await self._discard()
 
     async def _receive(self) -> bytes | None:
         """Return the next bytes, none at the end of stream.
@@ -124,6 +142,15 @@
             return await self._stream.receive_some(RECEIVE_BYTES)
         return self._stream.receive_now(RECEIVE_BYTES)
 
+    async def _discard(self) -> None:
+        """Read what the client still sends; otherwise the kernel resets its end."""
+        with (
+            suppress(trio.ClosedResourceError, trio.BrokenResourceError),
+            trio.move_on_after(DISCARD_S),
+        ):
+            while await self._stream.receive_some(RECEIVE_BYTES):
+                pass
+
     def _limit_idle_time(self) -> None:
         """Close the connection if the next request does not arrive in time."""
         limit_s = LINGER_S if self._closing else self._config.read_timeout or math.inf
@@ -133,15 +160,19 @@
     @property
     def _request_is_read(self) -> bool:
         """Whether the client waits for the reply to a request that it sent in full."""
+        return self._client_state is h11.DONE
+
+    @property
+    def _client_state(self) -> Any:
         connection = getattr(self._protocol.protocol, "connection", None)
-        return getattr(connection, "their_state", None) is h11.DONE
+        return getattr(connection, "their_state", None)
 
     async def _handle_protocol_event(self, event: Event) -> None:
         match event:
             case RawData():
                 await self._send(event.data)
             case Closed():
-                self._close()
+                self._end()
                 await self._protocol.handle(Closed())
             case Updated():
                 self._idle = event.idle
@@ -165,6 +196,16 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             await self._protocol.handle(Closed())
 
+    def _end(self) -> None:
+        """Send no more, and close the connection unless the client is still sending."""
+        if self._client_state in (h11.SEND_BODY, h11.ERROR):
+            self._ended = True
+            self._stream.send_eof()
+            if self._receiving is not None:
+                self._receiving.cancel()
+        else:
+            self._close()
+
     def _close(self) -> None:
         self._stream.send_eof()
         self._stream.close()
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -4,6 +4,7 @@
 import trio
 import trio.testing
 
+from currantwell import http_connection
 from currantwell.http_server import HttpServer, bind
 from tests.step_counter import StepCounter
 
@@ -162,6 +163,44 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_a_client_that_is_refused_may_send_its_request_to_the_end(nursery):
+    _, stream = await served(nursery, reply_at_once)
+    await stream.send_all(REQUEST[:-4].replace(b" 4", b" %d" % MANY_BYTES))
+    await trio.sleep(0.05)
+    with trio.fail_after(5):
+        await stream.send_all(bytes(MANY_BYTES))
+        assert await read_reply(stream) == (200, b"ok")
+        assert await stream.receive_some() == b""
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_reply_before_the_end_of_the_body_says_that_it_closes(nursery):
+    _, stream = await served(nursery, reply_at_once)
+    await stream.send_all(REQUEST[:-1])
+    assert b"connection: close\r\n" in await stream.receive_some()
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_client_that_sends_a_large_head_to_its_end_is_refused(nursery):
+    _, stream = await served(nursery, Echo())
+    with trio.fail_after(5):
+        await stream.send_all(REQUEST[:-8] + b"\r\nx: " + MANY_BYTES * b"x")
+        assert await read_reply(stream) == (431, b"")
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_client_that_never_ends_its_request_is_left(nursery, monkeypatch):
+    monkeypatch.setattr(http_connection, "DISCARD_S", 0.1)
+    _, stream = await served(nursery, reply_at_once)
+    await stream.send_all(CHUNKED_HEAD)
+    assert await read_reply(stream) == (200, b"ok")
+    with trio.fail_after(5), pytest.raises(trio.BrokenResourceError):
+        while True:
+            await stream.send_all(b"1\r\nx\r\n")
+            await trio.sleep(0.02)
+    nursery.cancel_scope.cancel()
+
+
 async def test_draining_closes_idle_connections_and_completes_requests(nursery):
     app = Echo()
     server, busy = await served(nursery, app)
