End a drain in time though a client does not read its reply

What callers saw: a client that stopped reading a reply larger than the buffers of its connection kept the host from stopping, beyond each limit of the drain, until the client left or the process was killed; SIGTERM was without effect.

Cause: a write is shielded from cancellation, so that a request that is cancelled leaves no part of a reply. The limits of the server and of the kernel end by cancellation. Hypercorn's own connection shields its writes too.

Why it works: when the server is cancelled or its time to stop has run out, it closes its connections, which ends the writes.

--- a/currantwell/http_connection.py
+++ b/currantwell/http_connection.py
@@ -101,6 +101,10 @@
         if self._idle and self._receiving is not None:
             self._receiving.cancel()
 
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._stream.close()
+
     async def _reply(self, scope: Any, receive: Any, send: Any) -> None:
         """Have the application reply; a reply before the end of the body says so."""
 
@@ -180,7 +184,10 @@
                     self._limit_idle_time()
 
     async def _send(self, data: bytes) -> None:
-        """Send data, which is completed even if the request is cancelled."""
+        """Send data, which is completed even if the request is cancelled.
+
+        Only `abort` ends it while the client does not read.
+        """
         if not data:
             return
         try:
--- a/currantwell/http_server.py
+++ b/currantwell/http_server.py
@@ -106,35 +106,46 @@
         await self._stopped.wait()
 
     async def _serve(self, task_status: trio.TaskStatus[None]) -> None:
-        async with trio.open_nursery() as connections:
-            for listener in self._listeners:
-                listener.listen(BACKLOG)
-                listener.setblocking(False)
-            # Accepting ends by closing its socket; the backlog outlives that here.
-            listeners = [
-                trio.SocketListener(trio.socket.from_stdlib_socket(listener.dup()))
-                for listener in self._listeners
-            ]
-            try:
-                async with trio.open_nursery() as accepting:
-                    accepting.start_soon(
-                        partial(
-                            trio.serve_listeners,
-                            self._serve_connection,
-                            listeners,
-                            handler_nursery=connections,
+        async with trio.open_nursery() as limited:
+            limited.start_soon(self._abort_when_cancelled)
+            async with trio.open_nursery() as connections:
+                for listener in self._listeners:
+                    listener.listen(BACKLOG)
+                    listener.setblocking(False)
+                # Accepting ends by closing its socket; the backlog outlives that here.
+                listeners = [
+                    trio.SocketListener(trio.socket.from_stdlib_socket(listener.dup()))
+                    for listener in self._listeners
+                ]
+                try:
+                    async with trio.open_nursery() as accepting:
+                        accepting.start_soon(
+                            partial(
+                                trio.serve_listeners,
+                                self._serve_connection,
+                                listeners,
+                                handler_nursery=connections,
+                            )
                         )
-                    )
-                    task_status.started()
-                    await self._stop_requested.wait()
-                    accepting.cancel_scope.cancel()
-            finally:
-                connections.cancel_scope.deadline = now_s() + self._graceful_s
-                for stream in self._take_backlog():
-                    connections.start_soon(self._serve_connection, stream)
-            await trio.sleep(LINGER_S)
+                        task_status.started()
+                        await self._stop_requested.wait()
+                        accepting.cancel_scope.cancel()
+                finally:
+                    limited.cancel_scope.deadline = now_s() + self._graceful_s
+                    for stream in self._take_backlog():
+                        connections.start_soon(self._serve_connection, stream)
+                await trio.sleep(LINGER_S)
+                for connection in self._connections:
+                    connection.close_when_idle()
+            limited.cancel_scope.cancel()
+
+    async def _abort_when_cancelled(self) -> None:
+        """End replies that their clients do not read, as cancellation does not."""
+        try:
+            await trio.sleep_forever()
+        finally:
             for connection in self._connections:
-                connection.close_when_idle()
+                connection.abort()
 
     def _take_backlog(self) -> list[trio.SocketStream]:
         """Return the connections not yet accepted, and stop listening."""
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -228,6 +228,30 @@
         assert await read_reply(stream) is None
 
 
+async def test_a_client_that_does_not_read_its_reply_holds_up_no_drain(nursery):
+    app = Echo()
+    app.size = MANY_BYTES
+    server, stream = await served(nursery, app, graceful_s=0.05)
+    await stream.send_all(REQUEST)
+    await app.arrived.wait()
+    with trio.fail_after(5):
+        await server.drain()
+    await stream.aclose()
+
+
+async def test_a_client_that_does_not_read_its_reply_holds_up_no_cancellation():
+    app = Echo()
+    app.size = MANY_BYTES
+    with trio.fail_after(5):
+        async with trio.open_nursery() as nursery:
+            _, stream = await served(nursery, app)
+            await stream.send_all(REQUEST)
+            await app.arrived.wait()
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            nursery.cancel_scope.cancel()
+    await stream.aclose()
+
+
 async def test_a_request_is_served_in_three_steps(nursery):
     # One for its data, one for the application; Hypercorn's own connection took
     # eighteen, the largest part of a host that only passes jobs on.
