--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -1,12 +1,16 @@
 """Connections of an HTTP server: kept open, failing, closed as the server drains."""
 
+import pytest
 import trio
 import trio.testing
 
+from currantwell import http_connection
 from currantwell.http_server import HttpServer, bind
 from tests.step_counter import StepCounter
 
 REQUEST = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody"
+CHUNKED_HEAD = b"POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+MANY_CHUNKS = 100
 MANY_BYTES = 8 * 1024 * 1024
 
 
@@ -116,6 +120,87 @@
     nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"nonsense\r\n\r\n", id="malformed"),
+        pytest.param(
+            b"GET / HTTP/1.1\r\nhost: a\r\nx: %070000d\r\n\r\n" % 0, id="large"
+        ),
+        pytest.param(REQUEST.replace(b"length: 4", b"length: x"), id="length"),
+        pytest.param(
+            REQUEST.replace(b"host: a", b"host: a\r\nconnection: close") + REQUEST,
+            id="after the last",
+        ),
+    ],
+)
+async def test_a_server_outlives_a_connection_that_it_refuses_to_read(nursery, data):
+    server, refused = await served(nursery, Echo())
+    await refused.send_all(data)
+    await read_reply(refused)
+    await trio.sleep(0.05)
+    stream = await trio.open_tcp_stream(*server.address)
+    await stream.send_all(REQUEST)
+    assert await read_reply(stream) == (200, b"body")
+    nursery.cancel_scope.cancel()
+
+
+async def reply_at_once(scope, receive, send):
+    """Application that replies without reading the body."""
+    length = (b"content-length", b"2")
+    head = {"type": "http.response.start", "status": 200, "headers": [length]}
+    await send(head)
+    await send({"type": "http.response.body", "body": b"ok"})
+
+
+async def test_a_body_that_nobody_reads_holds_no_connection_open(nursery):
+    server, stream = await served(nursery, reply_at_once)
+    await stream.send_all(CHUNKED_HEAD + MANY_CHUNKS * b"1\r\nx\r\n")
+    assert await read_reply(stream) == (200, b"ok")
+    with trio.fail_after(5):
+        assert await stream.receive_some() == b""
+    assert server.in_progress == 0
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_client_that_is_refused_may_send_its_request_to_the_end(nursery):
+    _, stream = await served(nursery, reply_at_once)
+    await stream.send_all(REQUEST[:-4].replace(b" 4", b" %d" % MANY_BYTES))
+    await trio.sleep(0.05)
+    with trio.fail_after(5):
+        await stream.send_all(bytes(MANY_BYTES))
+        assert await read_reply(stream) == (200, b"ok")
+        assert await stream.receive_some() == b""
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_reply_before_the_end_of_the_body_says_that_it_closes(nursery):
+    _, stream = await served(nursery, reply_at_once)
+    await stream.send_all(REQUEST[:-1])
+    assert b"connection: close\r\n" in await stream.receive_some()
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_client_that_sends_a_large_head_to_its_end_is_refused(nursery):
+    _, stream = await served(nursery, Echo())
+    with trio.fail_after(5):
+        await stream.send_all(REQUEST[:-8] + b"\r\nx: " + MANY_BYTES * b"x")
+        assert await read_reply(stream) == (431, b"")
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_client_that_never_ends_its_request_is_left(nursery, monkeypatch):
+    monkeypatch.setattr(http_connection, "DISCARD_S", 0.1)
+    _, stream = await served(nursery, reply_at_once)
+    await stream.send_all(CHUNKED_HEAD)
+    assert await read_reply(stream) == (200, b"ok")
+    with trio.fail_after(5), pytest.raises(trio.BrokenResourceError):
+        while True:
+            await stream.send_all(b"1\r\nx\r\n")
+            await trio.sleep(0.02)
+    nursery.cancel_scope.cancel()
+
+
 async def test_draining_closes_idle_connections_and_completes_requests(nursery):
     app = Echo()
     server, busy = await served(nursery, app)
@@ -143,6 +228,30 @@
         assert await read_reply(stream) is None
 
 
+async def test_a_client_that_does_not_read_its_reply_holds_up_no_drain(nursery):
+    app = Echo()
+    app.size = MANY_BYTES
+    server, stream = await served(nursery, app, graceful_s=0.05)
+    await stream.send_all(REQUEST)
+    await app.arrived.wait()
+    with trio.fail_after(5):
+        await server.drain()
+    await stream.aclose()
+
+
+async def test_a_client_that_does_not_read_its_reply_holds_up_no_cancellation():
+    app = Echo()
+    app.size = MANY_BYTES
+    with trio.fail_after(5):
+        async with trio.open_nursery() as nursery:
+            _, stream = await served(nursery, app)
+            await stream.send_all(REQUEST)
+            await app.arrived.wait()
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            nursery.cancel_scope.cancel()
+    await stream.aclose()
+
+
 async def test_a_request_is_served_in_three_steps(nursery):
     # One for its data, one for the application; Hypercorn's own connection took
     # eighteen, the largest part of a host that only passes jobs on.
