--- a/currantwell/consensus.py
+++ b/currantwell/consensus.py
@@ -37,6 +37,7 @@
 __all__ = ["Consensus", "Role"]
 
 MAX_RETAINED_ENTRIES = 256
+MAX_RETAINED_BYTES = 4 * 1024 * 1024
 
 
 class Consensus(ElectionState):
@@ -202,7 +203,7 @@
         assert term is not None
         assert index <= self._delivered_index
         snapshot = Snapshot(index, term, self.log.membership_at(index), data)
-        self.log.compact(snapshot, MAX_RETAINED_ENTRIES)
+        self.log.compact(snapshot, MAX_RETAINED_ENTRIES, MAX_RETAINED_BYTES)
         return snapshot
 
     # Outputs to the caller.
--- a/currantwell/consensus_log.py
+++ b/currantwell/consensus_log.py
@@ -95,7 +95,7 @@
         while self._memberships and self._memberships[-1][0] > last:
             self._memberships.pop()
 
-    def compact(self, snapshot: Snapshot, keep: int) -> None:
+    def compact(self, snapshot: Snapshot, keep: int, keep_bytes: int) -> None:
         """Replace the entries up to a snapshot's index by it.
 
         Parameters
@@ -104,9 +104,17 @@
             The snapshot.
         keep : int
             Number of entries up to its index to retain nonetheless.
+        keep_bytes : int
+            Total size of their commands, so that fewer are retained if they are large.
         """
         self.snapshot = snapshot
         start = max(self._start_index, snapshot.index - keep)
+        size_bytes = 0
+        for entry in reversed(self.slice(start + 1, snapshot.index)):
+            size_bytes += len(entry.command or b"")
+            if size_bytes > keep_bytes:
+                start = entry.index
+                break
         term = self.term_at(start)
         assert term is not None
         del self._entries[: start - self._start_index]
--- a/currantwell/fleet/channel.py
+++ b/currantwell/fleet/channel.py
@@ -33,7 +33,7 @@
 SILENCE_TIMEOUT_S = SILENCE_PINGS * PING_INTERVAL_S
 # Leaves time for one retransmission of a lost SYN, which takes a second.
 CONNECT_TIMEOUT_S = 1.5
-# Many times a configuration of 256 KiB or a list of 620 endpoints.
+# Several times the largest configuration or a list of 620 endpoints.
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 # A peer that reads this far behind is treated as disconnected.
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
--- a/currantwell/raft_agreement.py
+++ b/currantwell/raft_agreement.py
@@ -63,6 +63,7 @@
 RETRY_INTERVAL_S = 0.1
 PROPOSAL_RESEND_S = 0.75
 SNAPSHOT_INTERVAL_ENTRIES = 1_000
+SNAPSHOT_INTERVAL_BYTES = 8 * 1024 * 1024
 # Longer than a host takes to restart after a power failure of a few seconds.
 VOTER_REPLACE_AFTER_S = 5.0
 MIN_WRITE_RETRY_S = 0.05
@@ -71,7 +72,7 @@
 DISK_WAIT_S = 0.4
 COMPACTION_RETRY_S = 5.0
 INCARNATION_BYTES = 6
-MAX_COMMAND_BYTES = 256 * 1024
+MAX_COMMAND_BYTES = 4 * 1024 * 1024
 
 
 class _Waiter:
@@ -107,7 +108,8 @@
     timing : RaftTiming
         Intervals and timeouts of the protocol.
     snapshot_every : int
-        Number of applied entries after which the journal is compacted.
+        Number of applied entries after which the journal is compacted, also after
+        fewer of `SNAPSHOT_INTERVAL_BYTES` together.
     target_voters : int
         While fewer members vote, hosts that join later become voters too, also to
         replace voters that are lost for good. 0 turns this off.
@@ -151,6 +153,7 @@
         if storage.snapshot.index:
             self._table.restore(storage.snapshot.data, storage.snapshot.membership)
         self._applied_index = storage.snapshot.index
+        self._uncompacted_bytes = 0
         self._newly_applied = trio.Event()
         self._wake_event = trio.Event()
         self._transport = RaftTransport(peers, self._receive)
@@ -493,6 +496,7 @@
             snapshot = output.snapshot
             self._table.restore(snapshot.data, snapshot.membership)
             self._applied_index = snapshot.index
+            self._uncompacted_bytes = 0
         for entry in output.committed:
             self._apply(entry)
         if output.snapshot is not None or output.committed:
@@ -515,6 +519,7 @@
                 waiter.result = result
                 waiter.wake()
         self._applied_index = entry.index
+        self._uncompacted_bytes += len(entry.command or b"")
 
     def _complete_reads(self, output: Output) -> None:
         for read in output.reads:
@@ -533,7 +538,11 @@
 
     def _compact(self) -> None:
         new_entries = self._applied_index - self._storage.snapshot.index
-        if new_entries < self._snapshot_every or now_s() < self._compact_after_s:
+        is_due = (
+            new_entries >= self._snapshot_every
+            or self._uncompacted_bytes >= SNAPSHOT_INTERVAL_BYTES
+        )
+        if not is_due or now_s() < self._compact_after_s:
             return
         snapshot = self._core.compact(self._applied_index, self._table.snapshot())
         try:
@@ -541,6 +550,8 @@
         except DiskUnavailable as error:
             events.COMPACTION_FAILED.log(host=self._host, error=str(error))
             self._compact_after_s = now_s() + COMPACTION_RETRY_S
+            return
+        self._uncompacted_bytes = 0
 
 
 def _proposer(proposal: Proposal) -> tuple[MemberId, int]:
--- a/currantwell/raft_storage.py
+++ b/currantwell/raft_storage.py
@@ -34,6 +34,7 @@
 _Record = _Started | HardState | _SnapshotTaken | _EntriesAppended
 
 MAX_ENTRIES_PER_RECORD = 128
+MAX_COMMAND_BYTES_PER_RECORD = 16 * 1024 * 1024
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[_Record] = msgspec.msgpack.Decoder(_Record)
@@ -137,7 +138,16 @@
 
 def _entry_records(entries: Sequence[Entry]) -> list[_EntriesAppended]:
     """Return records of entries, each small enough for the journal."""
-    return [
-        _EntriesAppended(tuple(entries[first : first + MAX_ENTRIES_PER_RECORD]))
-        for first in range(0, len(entries), MAX_ENTRIES_PER_RECORD)
-    ]
+    groups: list[list[Entry]] = []
+    size_bytes = 0
+    for entry in entries:
+        size_bytes += len(entry.command or b"")
+        if (
+            not groups
+            or len(groups[-1]) == MAX_ENTRIES_PER_RECORD
+            or size_bytes > MAX_COMMAND_BYTES_PER_RECORD
+        ):
+            groups.append([])
+            size_bytes = len(entry.command or b"")
+        groups[-1].append(entry)
+    return [_EntriesAppended(tuple(group)) for group in groups]
--- a/tests/cooperative/deployment.py
+++ b/tests/cooperative/deployment.py
@@ -177,13 +177,18 @@
         if extra is not None:
             more = {**body["routes"][0], "name": "x", "path_prefix": f"/x{extra}/"}
             body["routes"].append(more)
+        await self.put_all(body)
+        return body
+
+    async def put_all(self, body):
+        """Send a complete configuration until some control host acknowledges it."""
         with trio.fail_after(PATIENCE_S):
             while True:
                 for machine in self.controls:
                     url = f"http://{machine.ip}:{CONTROL_PORT}/-/Configuration.Put"
                     reply = await self.call("POST", url, body)
                     if reply is not None and reply[0] == 200:
-                        return body
+                        return
                 await trio.sleep(0.1)
 
     async def read(self, machine):
--- a/tests/cooperative/test_programs.py
+++ b/tests/cooperative/test_programs.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from cooperative.operator_api import MAX_CONFIGURATION_BYTES
 from tests.cooperative.deployment import (
     CONTROL_PORT,
     GRACE_S,
@@ -462,3 +463,39 @@
             machine.process.send_signal(signal.SIGHUP)
         await deployment.until_ready(machine)
         await until_served(deployment, machine)
+
+
+async def test_the_largest_configuration_is_acknowledged_and_in_force(tmp_path):
+    """It was answered with 500 at each try."""
+    async with deployed(tmp_path) as deployment:
+        body = await deployment.put(2, prefix="/q/")
+        route = body["routes"][0]
+        body["version"] = 3
+        room_bytes = MAX_CONFIGURATION_BYTES - len(json.dumps(body))
+        number = 100_000
+        while True:
+            more = {**route, "name": f"r{number}", "path_prefix": f"/{number}/"}
+            room_bytes -= len(json.dumps(more)) + 2
+            if room_bytes < 0:
+                break
+            body["routes"].append(more)
+            number += 1
+        await deployment.put_all(body)
+        last = body["routes"][-1]["path_prefix"]
+        for machine in deployment.entries:
+            await until_served(deployment, machine, last)
+        for machine in deployment.controls:
+            deployment.restart(machine)
+        await deployment.until_listening(*deployment.controls)
+        assert await deployment.read(deployment.controls[0]) == (200, body)
+
+
+async def test_a_configuration_that_is_too_large_is_refused_at_once(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        body = await deployment.put(2)
+        large = {**body, "version": 3, "more": "x" * MAX_CONFIGURATION_BYTES}
+        for machine in deployment.controls:
+            url = f"http://{machine.ip}:{CONTROL_PORT}/-/Configuration.Put"
+            reply = await deployment.call("POST", url, large)
+            assert reply is not None and reply[0] == 413
+            assert await deployment.read(machine) == (200, body)
--- a/tests/cooperative/test_wire.py
+++ b/tests/cooperative/test_wire.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cooperative.operator_api import MAX_CONFIGURATION_BYTES
 from cooperative.wire import (
     decode_configuration,
     decode_heartbeat,
@@ -12,6 +13,8 @@
     step_tasks,
 )
 from currantwell.errors import InvalidRequest
+from currantwell.fleet.fleet_state import PutConfiguration, encode_command
+from currantwell.raft_agreement import MAX_COMMAND_BYTES
 from currantwell.submission import RestartRule
 
 ROUTE = {
@@ -174,3 +177,21 @@
     assert second.payload == ("5c0e.0.0.1", "text")
     assert first.restart is RestartRule.IF_OVER
     assert (first.pool, first.max_failures) == ("board", 4)
+
+
+@pytest.mark.parametrize("field", ["routes", "services"])
+def test_the_command_of_the_largest_configuration_is_accepted(field):
+    """Short items grow the most, as fields with defaults may be left out."""
+    body = {"version": 1, "routes": [], "services": [{"name": "s"}]}
+    route = {"name": "", "host": "", "path_prefix": "", "service": "s", "timeout_ms": 1}
+    items = body[field]
+    size = len(json.dumps(body, separators=(",", ":")))
+    while size < MAX_CONFIGURATION_BYTES - 100:
+        name = f"{len(items):x}"
+        item = {**route, "path_prefix": name} if field == "routes" else {"name": name}
+        items.append(item)
+        size += len(json.dumps(item, separators=(",", ":"))) + 1
+    source = json.dumps(body, separators=(",", ":")).encode()
+    assert len(source) <= MAX_CONFIGURATION_BYTES
+    command = encode_command(PutConfiguration(decode_configuration(source)))
+    assert len(command) <= MAX_COMMAND_BYTES
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -432,5 +432,14 @@
     first, second = Membership(("a/1",)), Membership(("a/1",), ("b/1",))
     log = Log(Snapshot(), [Entry(1, 1, None, first), Entry(2, 1, None, second)])
     assert log.membership_at(1) == first
-    log.compact(Snapshot(1, 1, log.membership_at(1)), 0)
+    log.compact(Snapshot(1, 1, log.membership_at(1)), 0, 0)
     assert (log.membership_at(1), log.membership) == (first, second)
+
+
+def test_few_large_entries_are_retained_before_a_snapshot():
+    log = Log(Snapshot(), [Entry(n, 1, b"x" * 100) for n in range(1, 11)])
+    log.compact(Snapshot(8, 1, log.membership_at(8)), 6, 250)
+    assert [log.term_at(index) for index in (5, 6, 7)] == [None, 1, 1]
+    assert [entry.index for entry in log.slice(7, 10)] == [7, 8, 9, 10]
+    log.compact(Snapshot(9, 1, log.membership_at(9)), 1, 250)
+    assert [log.term_at(index) for index in (7, 8, 10)] == [None, 1, 1]
--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -9,6 +9,7 @@
 from currantwell.consensus_leader import RaftTiming
 from currantwell.errors import AgreementLost
 from currantwell.journal import DiskJournal
+from currantwell.raft_agreement import MAX_COMMAND_BYTES, SNAPSHOT_INTERVAL_BYTES
 from currantwell.raft_messages import ConfirmAsked, ProposalSent
 from tests.builders import AgreementCluster, FillableDisk
 
@@ -318,6 +319,18 @@
         assert len(cluster.running[run.host].state.commands) == 16
 
 
+async def test_a_journal_is_compacted_before_large_commands_fill_the_disk():
+    async with cluster_of(3) as cluster:
+        run = await cluster.leader()
+        command = b"x" * (MAX_COMMAND_BYTES // 4)
+        bound_bytes = SNAPSHOT_INTERVAL_BYTES + len(command)
+        for _ in range(SNAPSHOT_INTERVAL_BYTES // len(command) + 4):
+            await run.agreement.propose(command)
+            stored = run.agreement._storage.entries
+            assert sum(len(entry.command or b"") for entry in stored) <= bound_bytes
+        assert run.agreement._storage.snapshot.index
+
+
 async def change_at(run, command):
     """Propose a command at one host until it acknowledges it."""
     while True:
--- a/tests/test_raft_storage.py
+++ b/tests/test_raft_storage.py
@@ -13,8 +13,10 @@
     VoteRequest,
     member_id,
 )
+from currantwell.consensus_output import Output
 from currantwell.errors import DiskUnavailable
-from currantwell.journal import DiskJournal
+from currantwell.journal import MAX_RECORD_BYTES, DiskJournal, MemoryJournal
+from currantwell.raft_agreement import MAX_COMMAND_BYTES
 from currantwell.raft_storage import RaftStorage
 from tests.builders import FillableDisk
 
@@ -105,3 +107,14 @@
     stored = RaftStorage(DiskJournal(path))
     assert stored.snapshot == output.snapshot
     assert stored.entries == output.entries
+
+
+async def test_entries_with_the_largest_commands_fit_the_records_of_the_journal():
+    journal = MemoryJournal()
+    storage = RaftStorage(journal)
+    await storage.record_start(MEMBERS[0])
+    command = bytes(MAX_COMMAND_BYTES)
+    count = MAX_RECORD_BYTES // MAX_COMMAND_BYTES + 1
+    entries = [Entry(index, 1, command) for index in range(1, count + 1)]
+    await storage.save(Output(entries=entries))
+    assert RaftStorage(journal).entries == entries
