--- a/currantwell/journal.py
+++ b/currantwell/journal.py
@@ -6,7 +6,8 @@
 Invariant: the records of a failed append are removed before the next append succeeds.
 A failed write is cut off the file at once. After a failed sync, what the disk holds of
 the file is uncertain, and a later sync may succeed without having written it; so the
-records synced before are first written to a new file.
+records synced before are first written to a new file. The same is done when a journal
+is opened, as its last process may have been killed after a failed sync.
 """
 
 import errno
@@ -130,7 +131,7 @@
     ----------
     path : Path
         The file, created if it is missing; its folder must exist. If the disk is full,
-        it is created by the first append.
+        it is created, or made durable, by the first append.
     disk : Disk or None
         Writes and syncs the file; None uses the machine's disk.
 
@@ -158,7 +159,7 @@
             if path.exists():
                 self._open()
             else:
-                self._create()
+                self._rewrite_if_there_is_room(())
         except OSError as error:
             raise DiskUnavailable(f"{path}: {error}") from error
 
@@ -201,9 +202,9 @@
         if self._closed:
             raise StorageFailed(f"{self._path}: journal is closed")
 
-    def _create(self) -> None:
+    def _rewrite_if_there_is_room(self, records: Sequence[bytes]) -> None:
         try:
-            self._rewrite(())
+            self._rewrite(records)
         except OSError as error:
             if error.errno not in _DISK_FULL_ERRORS:
                 raise
@@ -211,20 +212,20 @@
     def _open(self) -> None:
         self._fd = os.open(self._path, os.O_RDWR)
         try:
-            self._recover(self._fd)
+            self._rewrite_if_there_is_room(self._recover(self._fd))
         except (OSError, JournalDamaged):
             os.close(self._fd)
             raise
-        self._must_rewrite = False
 
-    def _recover(self, fd: int) -> None:
+    def _recover(self, fd: int) -> list[bytes]:
+        """Truncate a torn tail, and return the records before it."""
         file_bytes = os.lseek(fd, 0, os.SEEK_END)
-        self._salt, _, self._synced_bytes = self._parse(file_bytes)
+        self._salt, records, self._synced_bytes = self._parse(file_bytes)
         torn_bytes = file_bytes - self._synced_bytes
         if torn_bytes:
             events.JOURNAL_TAIL_TRUNCATED.log(path=self._path, torn_bytes=torn_bytes)
             self._truncate(fd)
-        self._disk.sync(fd)
+        return records
 
     def _parse(self, length: int) -> tuple[bytes, list[bytes], int]:
         assert self._fd is not None
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -11,17 +11,17 @@
 
 from currantwell.errors import DiskUnavailable, JournalDamaged, StorageFailed
 from currantwell.journal import DiskJournal, MemoryJournal, SystemDisk
-from currantwell.journal_format import FILE_HEADER_BYTES
+from currantwell.journal_format import FILE_HEADER_BYTES, parse
 from tests.builders import FillableDisk
 
 RECORDS = [b"one", b"", b"three" * 300]
 
 
 class FailingDisk(SystemDisk):
-    """Fails the n-th call of one of its methods, and only that one."""
+    """Fails the n-th call of one of its methods from `fail` on, and only that one."""
 
-    def __init__(self, method, count, error_number=errno.EIO, written_bytes=0):
-        self._method, self._calls_left = method, count
+    def __init__(self, error_number=errno.EIO, written_bytes=0):
+        self._method, self._calls_left = None, 0
         self._error_number, self._written_bytes = error_number, written_bytes
 
     def fail(self, method, count):
@@ -121,15 +121,31 @@
     assert [r for r in DiskJournal(path).read()][::2] == [b"0", b"1", b"2"]
 
 
-async def test_a_tail_torn_at_any_byte_is_truncated(path):
+@pytest.mark.parametrize("room_bytes", [None, 0])
+async def test_a_tail_torn_at_any_byte_is_removed(path, room_bytes):
+    """From the file itself if there is no room for a new one."""
     ends = await append_frames(path)
     data = path.read_bytes()
     for length in range(ends[1], ends[2]):
         path.write_bytes(data[:length])
-        journal = DiskJournal(path)
-        assert list(journal.read())[::2] == [b"0", b"1"]
+        journal = DiskJournal(path, FillableDisk(room_bytes))
+        records = list(journal.read())
+        assert records[::2] == [b"0", b"1"]
         journal.close()
-        assert path.stat().st_size == ends[1]
+        data_after = path.read_bytes()
+        assert parse(data_after)[1:] == (records, len(data_after))
+        assert room_bytes is None or len(data_after) == ends[1]
+
+
+@pytest.mark.parametrize("method", ["write", "sync"])
+async def test_a_journal_that_can_not_be_made_durable_is_not_opened(path, method):
+    ends = await append_frames(path, 1)
+    disk = FailingDisk()
+    disk.fail(method, 1)
+    with pytest.raises(DiskUnavailable):
+        DiskJournal(path, disk)
+    assert path.stat().st_size == ends[0]
+    assert [file.name for file in path.parent.iterdir()] == [path.name]
 
 
 @pytest.mark.parametrize("first", ["header", "payload"])
@@ -185,9 +201,10 @@
 async def test_no_sync_is_repeated_on_a_file_after_a_failed_sync(path):
     """The file is uncertain from then on, even if a later sync succeeds."""
     await append_frames(path, 1)
-    file = path.stat().st_ino
-    disk = FailingDisk("sync", 2)
+    disk = FailingDisk()
     journal = DiskJournal(path, disk)
+    file = path.stat().st_ino
+    disk.fail("sync", 1)
     with pytest.raises(DiskUnavailable):
         await journal.append([b"doubtful", b""])
     assert list(journal.read())[::2] == [b"0"]
@@ -199,8 +216,9 @@
 
 async def test_a_new_file_is_written_after_a_failed_sync_until_that_succeeds(path):
     await append_frames(path, 1)
-    disk = FailingDisk("sync", 2)
+    disk = FailingDisk()
     journal = DiskJournal(path, disk)
+    disk.fail("sync", 1)
     with pytest.raises(DiskUnavailable):
         await journal.append([b"doubtful", b""])
     for method in ("write", "sync"):
@@ -215,8 +233,9 @@
 
 async def test_a_rename_that_is_not_durable_is_done_again_before_the_next_append(path):
     await append_frames(path, 1)
-    disk = FailingDisk("sync", 3)
+    disk = FailingDisk()
     journal = DiskJournal(path, disk)
+    disk.fail("sync", 2)
     with pytest.raises(DiskUnavailable):
         journal.replace([b"new"])
     assert list(journal.read())[::2] == [b"0"]
@@ -228,7 +247,9 @@
 
 async def test_a_failed_write_whose_remains_stay_is_repaired(path, monkeypatch):
     await append_frames(path, 1)
-    journal = DiskJournal(path, FailingDisk("write", 1, errno.ENOSPC, 5))
+    disk = FailingDisk(errno.ENOSPC, 5)
+    journal = DiskJournal(path, disk)
+    disk.fail("write", 1)
     with monkeypatch.context() as patch, pytest.raises(DiskUnavailable):
         patch.setattr("os.ftruncate", _fail)
         await journal.append([b"more", b""])
@@ -274,7 +295,9 @@
 @pytest.mark.parametrize("method", ["write", "sync"])
 async def test_a_failed_replace_keeps_the_earlier_records(path, method):
     await append_frames(path, 1)
-    journal = DiskJournal(path, FailingDisk(method, {"write": 1, "sync": 2}[method]))
+    disk = FailingDisk()
+    journal = DiskJournal(path, disk)
+    disk.fail(method, 1)
     with pytest.raises(StorageFailed):
         journal.replace([b"new"])
     await journal.append([b"more", b""])
@@ -441,3 +464,29 @@
                 possible = [list(journal.read())]
         journal.close()
         monkeypatch.undo()
+
+
+async def test_nothing_read_after_a_failed_sync_is_lost_with_the_power(
+    path, monkeypatch
+):
+    """A process that is killed at a failed sync leaves what only looks written."""
+    for seed in range(120):
+        chance = random.Random(seed)
+        path.unlink(missing_ok=True)
+        disk = UnreliableDisk(chance, path, monkeypatch)
+        possible = [[]]
+        journal = DiskJournal(path, disk)
+        for number in range(8):
+            disk.failure_share = chance.choice([0.0, 0.3, 0.6])
+            possible = await append_at_random(chance, journal, possible, number)
+        disk.failure_share = 0.0
+        journal.close()
+        journal = DiskJournal(path, disk)
+        read = list(journal.read())
+        assert read in possible, seed
+        journal.close()
+        disk.lose_power()
+        journal = DiskJournal(path, disk)
+        assert list(journal.read()) == read, seed
+        journal.close()
+        monkeypatch.undo()
--- a/tests/test_raft_storage.py
+++ b/tests/test_raft_storage.py
@@ -101,7 +101,9 @@
     disk.room_bytes = 300
     with pytest.raises(DiskUnavailable):
         await storage.save(output)
-    assert RaftStorage(DiskJournal(path)).snapshot.index == 0
+    found = path.with_name("found.journal")
+    found.write_bytes(path.read_bytes())
+    assert RaftStorage(DiskJournal(found)).snapshot.index == 0
     disk.room_bytes = None
     await storage.save(output)
     stored = RaftStorage(DiskJournal(path))
