Save the registry when an unresponsive endpoint is removed

After a restart of all control hosts, endpoints that had ended without a word were known again for 6 s: a leave saved the registry, the removal of an unresponsive endpoint did not, and the file kept it until another endpoint changed. The test failed before. A full disk leaves the file as it was for as long as it is full, as before; entry hosts keep the later of two reports.

--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -373,6 +373,7 @@
                 self._heartbeats.clear()
             for endpoint in self._registry.remove_unresponsive(now_s()):
                 events.ENDPOINT_UNRESPONSIVE.log(endpoint=endpoint)
+                self._registry_changed = True
 
     async def _save_loop(self) -> None:
         """Save the registry when it has changed; waits for the disk."""
--- a/tests/fleet/test_control_service.py
+++ b/tests/fleet/test_control_service.py
@@ -5,8 +5,12 @@
 
 from currantwell.agreement import LocalAgreement
 from currantwell.fleet.channel import encode
-from currantwell.fleet.control_service import ControlService
-from currantwell.fleet.endpoint_registry import FORGET_AFTER_S, MemoryHintStore
+from currantwell.fleet.control_service import CLEANUP_INTERVAL_S, ControlService
+from currantwell.fleet.endpoint_registry import (
+    FORGET_AFTER_S,
+    EndpointRegistry,
+    MemoryHintStore,
+)
 from currantwell.fleet.fleet_state import FleetState
 from currantwell.fleet.messages import EndpointHeartbeats
 from currantwell.fleet.ownership import OwnershipRule
@@ -87,3 +91,17 @@
     service.heartbeat(a_report(sequence=2, draining=True))
     await trio.sleep(2.5)
     assert hint.saved == 2
+
+
+async def test_an_endpoint_that_was_removed_is_not_known_again_after_a_restart(
+    nursery, autojump_clock
+):
+    hint = MemoryHintStore()
+    service, _ = a_service(hint)
+    nursery.start_soon(service._cleanup_loop)
+    nursery.start_soon(service._save_loop)
+    service.heartbeat(a_report())
+    await trio.sleep(FORGET_AFTER_S / 2)
+    assert list(EndpointRegistry(hint, 0.0).reports)
+    await trio.sleep(FORGET_AFTER_S + 2 * CLEANUP_INTERVAL_S)
+    assert not list(EndpointRegistry(hint, 0.0).reports)
