Show in the metrics of a control host whether it hears a leader

An operator saw a member that takes no part only by its refusals: a host that was replaced as a voter, or that is cut off, runs and answers. Two gauges of each control host, agreement_hears_leader and agreement_takes_writes, are 0 then and 1 otherwise.

--- a/currantwell/metrics.py
+++ b/currantwell/metrics.py
@@ -7,7 +7,7 @@
 import collections
 import dataclasses
 import enum
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from typing import Protocol
 
 import trio
@@ -125,6 +125,11 @@
         self._refusals: collections.Counter[ResultCode] = collections.Counter()
         self._answers: collections.Counter[str] = collections.Counter()
         self._late_attempts: collections.Counter[str] = collections.Counter()
+        self._gauges: dict[str, tuple[str, Callable[[], int]]] = {}
+
+    def add_gauge(self, name: str, meaning: str, value: Callable[[], int]) -> None:
+        """Add a gauge whose value is read whenever the metrics are."""
+        self._gauges[name] = (meaning, value)
 
     def observe(self, timing: Timing, time_s: float) -> None:
         """Add a duration, in seconds."""
@@ -166,9 +171,13 @@
             f'currantwell_late_attempts_total{{decision="{decision}"}} {count}'
             for decision, count in sorted(self._late_attempts.items())
         )
-        for name, kind, meaning, value in _load_metrics(load):
+        gauges = tuple(
+            (name, "gauge", meaning, value())
+            for name, (meaning, value) in self._gauges.items()
+        )
+        for name, kind, meaning, number in (*_load_metrics(load), *gauges):
             lines.extend(_heading(name, kind, meaning))
-            lines.append(f"currantwell_{name} {value}")
+            lines.append(f"currantwell_{name} {number}")
         return "\n".join(lines) + "\n"
 
     def _timing_lines(self, timing: Timing) -> Iterator[str]:
--- a/currantwell/raft_agreement.py
+++ b/currantwell/raft_agreement.py
@@ -181,6 +181,16 @@
         leader = self._core.leader
         return None if leader is None else host_of(leader)
 
+    @property
+    def hears_leader(self) -> bool:
+        """Whether this host leads, or has heard from a leader of late."""
+        return self._core.has_active_leader()
+
+    @property
+    def takes_writes(self) -> bool:
+        """Whether the last write to this host's disk succeeded."""
+        return not self._write_failing
+
     @property
     def member(self) -> MemberId:
         """Member id of this host."""
--- a/tests/cooperative/deployment.py
+++ b/tests/cooperative/deployment.py
@@ -23,6 +23,7 @@
 ROOT = Path(__file__).parent.parent.parent
 ZONES = ("valdres", "hallingdal", "gudbrandsdal")
 TRAFFIC_PORT, READY_PORT, CONTROL_PORT, INTERNAL_PORT = 8161, 8167, 8166, 7720
+METRICS_PORT = 9464
 HEARTBEAT_S = 0.5
 PATIENCE_S = 20.0
 GRACE_S = 6.0
@@ -195,6 +196,12 @@
         url = f"http://{machine.ip}:{CONTROL_PORT}/-/Configuration.Get"
         return await self.call("GET", url)
 
+    async def metrics(self, machine):
+        """Return the lines of the metrics of a machine."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            reply = await pool.request("GET", f"http://{machine.ip}:{METRICS_PORT}/")
+        return reply.content.decode().splitlines()
+
     async def heartbeat(self, worker, url, state="ready"):
         """Send a heartbeat to the first control host that accepts it."""
         self.heartbeats += 1
--- a/tests/cooperative/test_programs.py
+++ b/tests/cooperative/test_programs.py
@@ -499,3 +499,21 @@
             reply = await deployment.call("POST", url, large)
             assert reply is not None and reply[0] == 413
             assert await deployment.read(machine) == (200, body)
+
+
+async def test_the_metrics_of_a_control_host_show_that_it_hears_no_leader(tmp_path):
+    async with deployed(tmp_path) as deployment:
+        machine, *others = deployment.controls
+        assert "currantwell_agreement_hears_leader 1" in await deployment.metrics(
+            machine
+        )
+        assert "currantwell_agreement_takes_writes 1" in await deployment.metrics(
+            machine
+        )
+        for other in others:
+            other.kill()
+        with trio.fail_after(PATIENCE_S):
+            while "currantwell_agreement_hears_leader 0" not in (
+                await deployment.metrics(machine)
+            ):
+                await trio.sleep(0.1)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -34,6 +34,16 @@
     assert value(metrics, 'refusals_total{code="NOT_RUN_QUOTA"}') == 1
 
 
+def test_a_gauge_is_read_whenever_the_metrics_are():
+    metrics = Metrics()
+    values = iter([1, 0])
+    metrics.add_gauge("agreement_hears_leader", "Whether.", lambda: next(values))
+    text = metrics.text(HostLoad())
+    assert "# TYPE currantwell_agreement_hears_leader gauge" in text.splitlines()
+    assert "currantwell_agreement_hears_leader 1" in text.splitlines()
+    assert value(metrics, "agreement_hears_leader") == 0
+
+
 def test_quantiles_exclude_values_older_than_two_windows():
     metrics = Metrics()
     for time_s in (1.0, 1e9, 0.0):
--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -123,6 +123,37 @@
         assert leader.agreement.leader is None
 
 
+async def test_a_host_that_hears_no_leader_says_so():
+    async with cluster_of(3) as cluster:
+        leader = await cluster.leader()
+        assert all(run.agreement.hears_leader for run in cluster.running.values())
+        others = [name for name in cluster.hosts if name != leader.host]
+        for name in others:
+            await cluster.kill(name)
+        with trio.fail_after(RECOVERY_TIMEOUT_S):
+            while leader.agreement.hears_leader:
+                await trio.sleep(0.01)
+        await cluster.start(others[0])
+        with trio.fail_after(2 * RECOVERY_TIMEOUT_S):
+            while not all(
+                run.agreement.hears_leader for run in cluster.running.values()
+            ):
+                await trio.sleep(0.01)
+
+
+async def test_a_host_whose_disk_takes_no_writes_says_so(tmp_path):
+    async with cluster_on_disks(tmp_path) as (cluster, disks):
+        full = await cluster.leader()
+        assert full.agreement.takes_writes
+        disks.disks[full.host].room_bytes = 7
+        await change_as_operator(cluster, "elsewhere")
+        assert not full.agreement.takes_writes
+        disks.disks[full.host].room_bytes = None
+        with trio.fail_after(RECOVERY_TIMEOUT_S):
+            while not full.agreement.takes_writes:
+                await trio.sleep(0.01)
+
+
 async def test_a_host_at_another_address_votes_in_the_place_of_one_that_is_gone():
     timing = RaftTiming(nonvoter_heartbeat_s=0.2)
     async with cluster_of(4, voters=3, timing=timing, target_voters=3) as cluster:
