--- a/tests/cooperative/deployment.py
+++ b/tests/cooperative/deployment.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).parent.parent.parent
 ZONES = ("valdres", "hallingdal", "gudbrandsdal")
 TRAFFIC_PORT, READY_PORT, CONTROL_PORT, INTERNAL_PORT = 8161, 8167, 8166, 7720
+METRICS_PORT = 9464
 HEARTBEAT_S = 0.5
 PATIENCE_S = 20.0
 GRACE_S = 6.0
@@ -200,19 +201,30 @@
         if extra is not None:
             more = {**body["routes"][0], "name": "x", "path_prefix": f"/x{extra}/"}
             body["routes"].append(more)
+        await self.put_all(body)
+        return body
+
+    async def put_all(self, body):
+        """Send a complete configuration until some control host acknowledges it."""
         with trio.fail_after(PATIENCE_S):
             while True:
                 for machine in self.controls:
                     url = f"http://{machine.ip}:{CONTROL_PORT}/-/Configuration.Put"
                     reply = await self.call("POST", url, body)
                     if reply is not None and reply[0] == 200:
-                        return body
+                        return
                 await trio.sleep(0.1)
 
     async def read(self, machine):
         url = f"http://{machine.ip}:{CONTROL_PORT}/-/Configuration.Get"
         return await self.call("GET", url)
 
+    async def metrics(self, machine):
+        """Return the lines of the metrics of a machine."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            reply = await pool.request("GET", f"http://{machine.ip}:{METRICS_PORT}/")
+        return reply.content.decode().splitlines()
+
     async def heartbeat(self, worker, url, state="ready"):
         """Send a heartbeat to the first control host that accepts it."""
         self.heartbeats += 1
--- a/tests/test_raft_agreement.py
+++ b/tests/test_raft_agreement.py
@@ -9,6 +9,7 @@
 from currantwell.consensus_leader import RaftTiming
 from currantwell.errors import AgreementLost
 from currantwell.journal import DiskJournal
+from currantwell.raft_agreement import MAX_COMMAND_BYTES, SNAPSHOT_INTERVAL_BYTES
 from currantwell.raft_messages import ConfirmAsked, ProposalSent
 from tests.builders import AgreementCluster, FillableDisk
 
@@ -122,6 +123,37 @@
         assert leader.agreement.leader is None
 
 
+async def test_a_host_that_hears_no_leader_says_so():
+    async with cluster_of(3) as cluster:
+        leader = await cluster.leader()
+        assert all(run.agreement.hears_leader for run in cluster.running.values())
+        others = [name for name in cluster.hosts if name != leader.host]
+        for name in others:
+            await cluster.kill(name)
+        with trio.fail_after(RECOVERY_TIMEOUT_S):
+            while leader.agreement.hears_leader:
+                await trio.sleep(0.01)
+        await cluster.start(others[0])
+        with trio.fail_after(2 * RECOVERY_TIMEOUT_S):
+            while not all(
+                run.agreement.hears_leader for run in cluster.running.values()
+            ):
+                await trio.sleep(0.01)
+
+
+async def test_a_host_whose_disk_takes_no_writes_says_so(tmp_path):
+    async with cluster_on_disks(tmp_path) as (cluster, disks):
+        full = await cluster.leader()
+        assert full.agreement.takes_writes
+        disks.disks[full.host].room_bytes = 7
+        await change_as_operator(cluster, "elsewhere")
+        assert not full.agreement.takes_writes
+        disks.disks[full.host].room_bytes = None
+        with trio.fail_after(RECOVERY_TIMEOUT_S):
+            while not full.agreement.takes_writes:
+                await trio.sleep(0.01)
+
+
 async def test_a_host_at_another_address_votes_in_the_place_of_one_that_is_gone():
     timing = RaftTiming(nonvoter_heartbeat_s=0.2)
     async with cluster_of(4, voters=3, timing=timing, target_voters=3) as cluster:
@@ -334,6 +366,18 @@
         assert len(cluster.running[run.host].state.commands) == 16
 
 
+async def test_a_journal_is_compacted_before_large_commands_fill_the_disk():
+    async with cluster_of(3) as cluster:
+        run = await cluster.leader()
+        command = b"x" * (MAX_COMMAND_BYTES // 4)
+        bound_bytes = SNAPSHOT_INTERVAL_BYTES + len(command)
+        for _ in range(SNAPSHOT_INTERVAL_BYTES // len(command) + 4):
+            await run.agreement.propose(command)
+            stored = run.agreement._storage.entries
+            assert sum(len(entry.command or b"") for entry in stored) <= bound_bytes
+        assert run.agreement._storage.snapshot.index
+
+
 async def change_at(run, command):
     """Propose a command at one host until it acknowledges it."""
     while True:
