End the wait for a turn to propose the first view once there is one

Cause: each host sleeps for its turn before it proposes a first view, 3 s for the second host of a data centre and 6 s for the third, and follows no view meanwhile. If the first view is agreed and its primary lost in that time, the backup doesn't watch the primary, and a host that the leader names as primary doesn't serve. In host logs of test_each_host_of_three_is_killed_in_turn (h2 started at 0.4 s, h1 killed at 2.1 s), h2 proposed no takeover in the 2.0 s that this takes at most; the view was replaced 2.8 s after the kill, by a leader whose failure detector had just begun.

Change: the wait ends when there is a view.

The test (third host, paused clock, the kill in its turn) took 8.6 s without the change.

--- a/currantwell/roles.py
+++ b/currantwell/roles.py
@@ -190,18 +190,19 @@
 
     async def _propose_first_view(self, data_centre: DataCentre) -> None:
         """Propose the first view; the hosts take turns in the order of their ids."""
-        local_hosts = [
+        local_hosts = sorted(
             host for host, home in self._hosts.items() if home == data_centre
-        ]
-        if self._host in local_hosts:
-            await trio.sleep(sorted(local_hosts).index(self._host) * FIRST_VIEW_TURN_S)
-            if (
-                self._views.view(data_centre) is None
-                and not self._backup_manager.draining
-            ):
-                await self._proposer.propose_view(
-                    View(data_centre, FIRST_VIEW_NUMBER, self._host)
-                )
+        )
+        if self._host not in local_hosts:
+            await trio.sleep(TICK_S)
+            return
+        turn_s = local_hosts.index(self._host) * FIRST_VIEW_TURN_S
+        if await self._proposer.wait_for_first(data_centre, turn_s):
+            return
+        if not self._backup_manager.draining:
+            await self._proposer.propose_view(
+                View(data_centre, FIRST_VIEW_NUMBER, self._host)
+            )
         await trio.sleep(TICK_S)
 
     # Backup.
--- a/currantwell/view_proposer.py
+++ b/currantwell/view_proposer.py
@@ -10,7 +10,7 @@
 from .copy_messages import ViewVouched
 from .copy_store import CopyStore
 from .errors import AgreementLost
-from .ids import Epoch, HostId
+from .ids import DataCentre, Epoch, HostId
 from .views import View, ViewSource
 
 __all__ = ["FIRST_VIEW_NUMBER", "ViewProposer"]
@@ -45,6 +45,13 @@
             with trio.move_on_after(POLL_S):
                 await self._views.wait_change()
 
+    async def wait_for_first(self, data_centre: DataCentre, timeout_s: float) -> bool:
+        """Wait for a data centre's first view; return whether there is one."""
+        with trio.move_on_after(timeout_s):
+            while self._views.view(data_centre) is None:
+                await self._views.wait_change()
+        return self._views.view(data_centre) is not None
+
     async def propose_view(self, next_view: View) -> bool:
         """Propose a view; return whether it is confirmed as the newest one."""
         try:
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,116 @@
+"""The roles of a host as others are lost, over copies in memory and a paused clock."""
+
+import trio
+
+from currantwell.backup_manager import RoleLimits
+from currantwell.copy_messages import ViewVouched
+from currantwell.copy_store import CopyStores
+from currantwell.errors import PeerUnreachable
+from currantwell.ids import DataCentre, Epoch, HostId
+from currantwell.job_backup import JobBackup
+from currantwell.journal import MemoryJournal
+from currantwell.roles import Roles
+from currantwell.views import View, ViewTable
+
+HERE, FAR = DataCentre("valdres"), DataCentre("hallingdal")
+LOST, OTHER, OWN = HostId("h1"), HostId("h2"), HostId("h3")
+FIRST_VIEW = View(HERE, Epoch(1), LOST)
+VIEW = View(HERE, Epoch(2), LOST, OWN)
+# The stated target: new jobs are taken this long after a host was lost.
+SERVICE_AGAIN_S = 5.0
+
+
+class Views(ViewTable):
+    """Views that no majority agrees on until a leader is elected."""
+
+    def __init__(self, *views, leader_from_s=0.0):
+        super().__init__(*views)
+        self.leader_from_s = leader_from_s
+
+    async def propose_view(self, view):
+        await trio.sleep_until(self.leader_from_s)
+        return await super().propose_view(view)
+
+
+class Peers:
+    """Delivers requests to one host; the others never reply."""
+
+    def __init__(self, handler, unanswered=0):
+        self.handler = handler
+        self.unanswered = unanswered
+        self.asked = []
+
+    def handle(self, message, handler):
+        pass
+
+    async def request(self, host, message, reply, timeout_s=1.0):
+        self.asked.append(host)
+        if host == OTHER and self.asked.count(OTHER) > self.unanswered:
+            await trio.sleep(0.001)
+            return await self.handler(OWN, message)
+        await trio.sleep(timeout_s)
+        raise PeerUnreachable(host)
+
+
+class Dispatcher:
+    """A dispatcher with a start that no endpoint replies to."""
+
+    async def run(self, task_status):
+        task_status.started()
+        await trio.sleep_forever()
+
+    async def endpoints(self):
+        return []
+
+    async def pause(self, timeout_s):
+        await trio.sleep(timeout_s)
+
+    def resume(self):
+        pass
+
+
+class Host:
+    """The roles of a host, and the copies of another one that answers it."""
+
+    def __init__(self, *views, other_at=HERE, **peers):
+        self.views = Views(*views)
+        self.stores = CopyStores(lambda name: MemoryJournal())
+        other_stores = CopyStores(lambda name: MemoryJournal())
+        answering = JobBackup(other_stores, self.views)
+        self.peers = Peers(answering.handle_message, **peers)
+        self.roles = Roles(
+            OWN,
+            {LOST: HERE, OTHER: other_at, OWN: HERE},
+            self.views,
+            self.stores,
+            JobBackup(self.stores, self.views),
+            self.peers,
+            lambda *arguments: Dispatcher(),
+            RoleLimits(copies=2),
+        )
+
+    async def join(self, view):
+        """Have this host's copy count in a view."""
+        store = await self.stores.get(HERE)
+        await store.write([ViewVouched(view)])
+
+    async def seconds_until_two_copies(self):
+        started_s = trio.current_time()
+        while self.views.view(HERE) != View(HERE, self.number(), OWN, OTHER):
+            await trio.sleep(0.01)
+        return trio.current_time() - started_s
+
+    def number(self):
+        return self.views.view(HERE).number
+
+
+async def test_a_host_that_waits_for_its_turn_takes_over_in_time(
+    nursery, autojump_clock
+):
+    host = Host()
+    nursery.start_soon(host.roles.run, trio.TASK_STATUS_IGNORED)
+    await trio.sleep(0.5)
+    await host.views.propose_view(FIRST_VIEW)
+    await host.join(VIEW)
+    await host.views.propose_view(VIEW)
+    assert await host.seconds_until_two_copies() < SERVICE_AGAIN_S
