Ask an unresponsive host again where no other can hold the second copy

What callers saw: new jobs refused with NOT_RUN_SECOND_COPY_MISSING for 2 s and more after a takeover, where the only host left was late or one of its replies was lost.

Cause: a host that gives no first reply within 0.5 s isn't asked again for 2 s, even if there is no other one. By the constants, after the loss of a primary that also leads the agreement: election with one split vote 2.4 s, tick and first try 0.7 s, 2 s without any try, another try of the dead primary (no longer passed over, not yet suspected) 0.5 s, pause 1 s: more than the 5 s in which new jobs have to be taken.

Change: if all hosts were found unresponsive of late, the last one that was found so is asked; the others become candidates again sooner. This applies where two copies are required: with one no job is refused meanwhile.

--- a/currantwell/backup_manager.py
+++ b/currantwell/backup_manager.py
@@ -224,7 +224,8 @@
         """Return the hosts that would be a better backup than the present one.
 
         If two copies are required, a host of another data centre serves while none of
-        this one can; one of this data centre replaces it later.
+        this one can; one of this data centre replaces it later. Unresponsive hosts are
+        then returned only if there is no other host.
         """
         data_centre, backup = term.view.data_centre, term.view.backup
         unresponsive = {
@@ -232,19 +233,19 @@
             for host, since_s in self._unresponsive_since_s.items()
             if now_s() - since_s < AVOID_UNRESPONSIVE_S
         }
-        eligible = (
-            set(self._hosts)
-            - {self._host, backup}
-            - self._proposer.suspects()
-            - unresponsive
-        )
-        local = sorted(host for host in eligible if self._hosts[host] == data_centre)
-        if backup is not None:
-            return [] if self._hosts[backup] == data_centre else local
+        eligible = set(self._hosts) - {self._host, backup} - self._proposer.suspects()
+        responsive = eligible - unresponsive
+        local = {host for host in eligible if self._hosts[host] == data_centre}
+        if backup is not None and self._hosts[backup] == data_centre:
+            return []
         waited = now_s() - term.started_s > REMOTE_BACKUP_DELAY_S
-        if local or not waited or self._limits.copies < COPIES_FOR_REMOTE_BACKUP:
-            return local
-        return sorted(eligible)
+        two_needed = self._limits.copies >= COPIES_FOR_REMOTE_BACKUP
+        if local & responsive or backup is not None or not (waited and two_needed):
+            return sorted(local & responsive)
+        if responsive:
+            return sorted(responsive)
+        # The others become candidates again sooner.
+        return sorted(eligible, key=self._unresponsive_since_s.__getitem__)[-1:]
 
     def _backup_is_local(self, view: View) -> bool:
         """Return whether the backup, but not this host, is in the data centre."""
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,8 +1,10 @@
 """The roles of a host as others are lost, over copies in memory and a paused clock."""
 
+import pytest
 import trio
 
 from currantwell.backup_manager import RoleLimits
+from currantwell.consensus_leader import RaftTiming
 from currantwell.copy_messages import ViewVouched
 from currantwell.copy_store import CopyStores
 from currantwell.errors import PeerUnreachable
@@ -18,6 +20,7 @@
 VIEW = View(HERE, Epoch(2), LOST, OWN)
 # The stated target: new jobs are taken this long after a host was lost.
 SERVICE_AGAIN_S = 5.0
+PLACES = pytest.mark.parametrize("other_at", [HERE, FAR])
 
 
 class Views(ViewTable):
@@ -104,6 +107,22 @@
         return self.views.view(HERE).number
 
 
+async def after_a_split_vote(nursery, other_at, unanswered):
+    """Lose the primary, which also led the agreement."""
+    host = Host(VIEW, other_at=other_at, unanswered=unanswered)
+    await host.join(VIEW)
+    nursery.start_soon(host.roles.run, trio.TASK_STATUS_IGNORED)
+    timing = RaftTiming()
+    host.views.leader_from_s = trio.current_time() + sum(
+        (
+            timing.election_timeout_s,
+            timing.election_retry_s,
+            2 * timing.election_jitter_s,
+        )
+    )
+    return host
+
+
 async def test_a_host_that_waits_for_its_turn_takes_over_in_time(
     nursery, autojump_clock
 ):
@@ -126,3 +145,11 @@
     await host.views.propose_view(View(HERE, Epoch(3), OWN))
     await host.seconds_until_two_copies()
     assert LOST not in host.peers.asked
+
+
+@PLACES
+async def test_a_lost_first_reply_after_a_split_vote_delays_no_job_too_long(
+    other_at, nursery, autojump_clock
+):
+    host = await after_a_split_vote(nursery, other_at, unanswered=1)
+    assert await host.seconds_until_two_copies() < SERVICE_AGAIN_S
