Wait less for replies to starts before a second copy counts

What callers saw: new jobs refused for up to 1 s more after a takeover, while starts that were sent to endpoints had no reply.

Cause: before a view with a backup is proposed the dispatcher is paused until all its starts are replied to, 1 s at most. While there is no second copy, new jobs are refused that long.

Change: 0.25 s at most while new jobs are refused, 1 s as before otherwise. A start without a reply is treated as after a takeover: the next epoch adopts the endpoint, which names what it runs and takes no later start of the earlier epoch; the rest is started anew.

--- a/currantwell/backup_manager.py
+++ b/currantwell/backup_manager.py
@@ -30,6 +30,8 @@
 
 TICK_S = 0.2
 PAUSE_TIMEOUT_S = 1.0
+# New jobs are refused during this pause.
+PAUSE_WITHOUT_BACKUP_S = 0.25
 PROPOSE_TIMEOUT_S = 3.0
 LEAVE_REQUEST_VALID_S = 5.0
 REPAIR_PAUSE_S = 2.0
@@ -291,7 +293,8 @@
         self, term: PrimaryTerm, dispatcher: Dispatcher, next_view: View
     ) -> bool:
         """Wait for replies to pending starts, vouch for copies, propose a view."""
-        await dispatcher.pause(PAUSE_TIMEOUT_S)
+        refusing = term.log.second_copy_missing()
+        await dispatcher.pause(PAUSE_WITHOUT_BACKUP_S if refusing else PAUSE_TIMEOUT_S)
         with trio.move_on_after(PROPOSE_TIMEOUT_S):
             vouched = await term.log.vouch(next_view)
             return vouched and await self._proposer.propose_view(next_view)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -153,3 +153,11 @@
 ):
     host = await after_a_split_vote(nursery, other_at, unanswered=1)
     assert await host.seconds_until_two_copies() < SERVICE_AGAIN_S
+
+
+@PLACES
+async def test_starts_without_reply_after_lost_replies_delay_no_job_too_long(
+    other_at, nursery, autojump_clock
+):
+    host = await after_a_split_vote(nursery, other_at, unanswered=2)
+    assert await host.seconds_until_two_copies() < SERVICE_AGAIN_S
