Fill the disks of control hosts in turn in the soak test

The soak injected no full disk, which the incident of the refused changes is about.

Faults: one control host after another can't write for 0.3 to 2.5 s, three in ten of them restarted meanwhile, beside all other faults. Injected from outside by a limit on the size of files (RLIMIT_FSIZE), so writes fail with EFBIG in place of ENOSPC, in the middle of a record or before it; nothing in the programs changes. No disk is wiped until 8 s after the last has room, as after a wipe: more than one incomplete copy isn't tolerated.

Checks: a configuration is acknowledged within the 2 s of the documents after the bound of recovery, from the end of the faults (before, the run ended with an error after 20 s); a full disk ends no process.

--- a/tests/cooperative/soak.py
+++ b/tests/cooperative/soak.py
@@ -3,24 +3,26 @@
 ``python -m tests.cooperative.soak --seed 7 --seconds 20`` runs one seed; ``--seeds 50``
 runs that many seeds, beginning with the given one. Faults come in series and overlap:
 processes are killed, frozen, terminated and restarted, disks of control hosts are
-emptied, links to workers are cut, silenced or made one-way, and workers fail, hang,
-slow down, lose replies or drain. Some stops are followed by a series of signals while
-the process drains. Clients and operators keep sending requests, some over connections
-that they use until the host closes them. Faults are injected and guarantees are checked
-from outside the processes:
+emptied, or full in turn, links to workers are cut, silenced or made one-way, and
+workers fail, hang, slow down, lose replies or drain. Some stops are followed by a
+series of signals while the process drains. Clients and operators keep sending requests,
+some over connections that they use until the host closes them. Faults are injected and
+guarantees are checked from outside the processes:
 
 - no task runs twice at the same time, on the same or on different workers;
 - no task of a refused job runs;
 - every task of a job that is reported as completed has been done;
 - an acknowledged configuration is served everywhere in time, never reverts, and is read
   back at the end;
-- jobs are served again after the last fault;
+- jobs are served and a configuration is acknowledged again after the last fault;
+- a full disk ends no process;
 - a request sent in full to a process that is neither killed nor frozen gets a complete
   reply, unless the process ended before it read the request.
 """
 
 import argparse
 import random
+import resource
 import signal
 import tempfile
 from pathlib import Path
@@ -49,7 +51,11 @@
     "hup",
     "kill all controls",
     "wipe",
+    *("fill disks",) * 2,
 )
+# After a loss or a lack of room, a disk's copy may be incomplete for this long.
+DISK_REPAIR_S = 8.0
+RESTARTS_ON_FULL_DISKS = 0.3
 KEPT_CONNECTIONS = 8
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
 SIGNAL_INTERVAL_S = (0.0, 0.8)
@@ -110,6 +116,8 @@
         # Process ids that were told to stop.
         self.stopping = set()
         self.unanswered = []
+        self.filling_disks = False
+        self.disk_fault_s = float("-inf")
 
     def note(self, text):
         self.log.append(f"{trio.current_time() % 1000:8.2f} {text}")
@@ -232,6 +240,8 @@
     async def host_fault(self, machine, kind, duration_s):
         if kind == "kill all controls":
             await self.kill_all_controls(duration_s)
+        elif kind == "fill disks":
+            await self.fill_disks(duration_s)
         elif machine.process.poll() is None:
             if kind == "freeze":
                 await self.freeze(machine, duration_s)
@@ -295,28 +305,50 @@
                 f"SIGNALS {machine.name} ended with {process.returncode}"
             )
 
+    async def fill_disks(self, duration_s):
+        """Leave no room on the disks of the control hosts, one after another."""
+        if self.filling_disks or not self.disks_complete():
+            return
+        self.filling_disks = True
+        for control in self.random.sample(self.deployment.controls, 3):
+            self.note(f"no room at {control.name}")
+            set_full(control.process, True)
+            if self.random.random() < RESTARTS_ON_FULL_DISKS:
+                self.disrupted.add(control.process.pid)
+                self.deployment.restart(control)
+                set_full(control.process, True)
+            process = control.process
+            await trio.sleep(duration_s)
+            set_full(process, False)
+            signalled = process.pid in self.disrupted | self.stopping
+            if (process.poll() or 0) > 0 and not signalled:
+                self.register.violations.append(
+                    f"DISK {control.name} ended with {process.returncode}"
+                )
+        self.filling_disks = False
+        self.disk_fault_s = trio.current_time()
+
     def may_wipe(self, machine):
-        """Return whether wiping this disk keeps within the tolerated disk losses."""
+        """Return whether wiping this disk keeps within the tolerated disk losses.
+
+        If so, the current time is recorded as that of a wipe.
+        """
         others = [
             control for control in self.deployment.controls if control is not machine
         ]
         others_running = all(control.process.poll() is None for control in others)
-        return (
+        may_wipe = (
             machine.program == "control"
             and others_running
-            and not self.wiped_recently()
+            and not self.filling_disks
+            and self.disks_complete()
         )
+        if may_wipe:
+            self.disk_fault_s = trio.current_time()
+        return may_wipe
 
-    def wiped_recently(self):
-        """Return whether a disk was wiped so recently that its copy may be incomplete.
-
-        If not, the current time is recorded as that of a wipe.
-        """
-        now = trio.current_time()
-        recently = now - getattr(self, "wiped_s", -1e9) < 8.0
-        if not recently:
-            self.wiped_s = now
-        return recently
+    def disks_complete(self):
+        return trio.current_time() - self.disk_fault_s >= DISK_REPAIR_S
 
     # Final checks.
 
@@ -330,6 +362,7 @@
                 self.disrupted.add(process.pid)
                 self.deployment.restart(machine)
             machine.process.send_signal(signal.SIGCONT)
+            set_full(machine.process, False)
 
     async def check_recovery(self):
         deadline_s = trio.current_time() + RECOVERY_TIMEOUT_S
@@ -343,13 +376,7 @@
             await trio.sleep(0.05)
         else:
             self.register.violations.append(f"RECOVER nothing served: {reply}")
-        self.version += 1
-        sent = await self.deployment.put(self.version)
-        await trio.sleep(CONFIGURATION_TIMEOUT_S)
-        for machine in self.deployment.controls:
-            reply = await self.deployment.read(machine)
-            if reply not in ((200, sent), None) and reply[0] != 503:
-                self.register.violations.append(f"CONFIG {machine.name} reads {reply}")
+        await self.check_configuration(deadline_s + CONFIGURATION_TIMEOUT_S)
         self.check_unanswered()
         for identifier, reply in self.answers.items():
             if (
@@ -359,6 +386,20 @@
             ):
                 self.register.violations.append(f"REFUSED {identifier} ran: {reply}")
 
+    async def check_configuration(self, deadline_s):
+        self.version += 1
+        sent = None
+        with trio.move_on_at(deadline_s):
+            sent = await self.deployment.put(self.version)
+        if sent is None:
+            self.register.violations.append("ACKS no configuration acknowledged")
+            return
+        await trio.sleep(CONFIGURATION_TIMEOUT_S)
+        for machine in self.deployment.controls:
+            reply = await self.deployment.read(machine)
+            if reply not in ((200, sent), None) and reply[0] != 503:
+                self.register.violations.append(f"CONFIG {machine.name} reads {reply}")
+
     def check_unanswered(self):
         """Check that each request which an undisturbed process read was answered."""
         for process, machine, identifier in self.unanswered:
@@ -369,6 +410,14 @@
                 self.register.violations.append(f"LOST {identifier} at {machine.name}")
 
 
+def set_full(process, full):
+    """Refuse a process all writes that make a file longer, or allow them again."""
+    if process.poll() is None:
+        limit = 1 if full else resource.RLIM_INFINITY
+        limits = (limit, resource.RLIM_INFINITY)
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limits)
+
+
 async def run_seed(seed, seconds, folder):
     """Run one seed; return the violations, the log, and counts of status codes."""
     register = Register()
