Let the test of Ctrl-C pass when its parent ignores SIGINT

test_ctrl_c_ends_another_command_while_it_imports_its_libraries failed, both variants, in a run of the suite that a shell had started in the background: exit code 4 (no host reached) in place of the end by SIGINT. Such a shell has SIGINT ignored, children inherit that, and Python then installs no handler, as is proper. With `trap '' INT` in the shell it fails each time.

The test restores the default before it starts the command. What it checks is unchanged.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -216,6 +216,15 @@
             process.kill()
 
 
+@pytest.fixture
+def default_sigint():
+    """Undo that shells let jobs in the background ignore SIGINT."""
+    earlier = signal.signal(signal.SIGINT, signal.default_int_handler)
+    yield
+    signal.signal(signal.SIGINT, earlier)
+
+
+@pytest.mark.usefixtures("default_sigint")
 @pytest.mark.parametrize("program", [MODULE, SCRIPT], ids=["module", "script"])
 def test_ctrl_c_ends_another_command_while_it_imports_its_libraries(program):
     command = (*program, "status", "--url", "http://127.0.0.1:9")
