Give up requests to an owner of jobs that was replaced

What callers saw: after the primary of a data centre was killed, requests through other hosts were held for up to 2 s more after another host served, and ended after the client's own timeout of 3 s with an unknown outcome.

Cause: a request to the dead primary waits out its 2 s, also if another primary is agreed meanwhile.

Change: the request ends when the view names another primary, and goes to that one. As before, a later refusal is then no evidence that the first owner didn't accept the job.

--- a/currantwell/remote_gateway.py
+++ b/currantwell/remote_gateway.py
@@ -6,7 +6,7 @@
 """
 
 import contextlib
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Any
 
 import msgspec
@@ -74,6 +74,7 @@
         self._views = views
         self._owners = owners
         self._peers = peers
+        self._requests: set[tuple[HostId, trio.CancelScope]] = set()
         self._waiters: dict[JobId, list[trio.Event]] = {}
         self._new_jobs: set[JobId] = set()
         self._waiter_added = trio.Event()
@@ -132,16 +133,10 @@
         return result
 
     async def run(self) -> None:
-        """Poll the remote owner for the end of the jobs that callers wait for."""
-        while True:
-            waiter_added = self._waiter_added
-            if not self._waiters:
-                await waiter_added.wait()
-            jobs, self._new_jobs = self._new_jobs, set()
-            await self._poll(tuple(jobs or self._waiters))
-            if not self._new_jobs:
-                with trio.move_on_after(POLL_INTERVAL_S):
-                    await self._waiter_added.wait()
+        """Follow the jobs that callers wait for, and the changes of the owner."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._poll_loop)
+            nursery.start_soon(self._cancel_loop)
 
     def release(self, jobs: Sequence[JobId]) -> None:
         """Wake the callers that wait for jobs that have ended."""
@@ -175,7 +170,9 @@
         if view is None:
             raise _NotOwner
         if view.primary != self._host:
-            return await self._request(view.primary, method, arguments)
+            with self._unless_replaced(view.primary):
+                return await self._request(view.primary, method, arguments)
+            raise PeerUnreachable(f"{view.primary} was replaced")
         dispatcher = self._owners.dispatcher(self._data_centre)
         if dispatcher is None:
             raise _NotOwner
@@ -197,8 +194,40 @@
                 return msgspec.msgpack.decode(reply.value, type=Refusal)
         return msgspec.msgpack.decode(reply.value, type=RESULTS[method])
 
+    @contextlib.contextmanager
+    def _unless_replaced(self, owner: HostId) -> Iterator[None]:
+        """Cancel the block if the data centre gets another owner."""
+        with trio.CancelScope() as scope:
+            request = (owner, scope)
+            self._requests.add(request)
+            try:
+                yield
+            finally:
+                self._requests.discard(request)
+
+    async def _cancel_loop(self) -> None:
+        """Cancel requests to an owner that was replaced: it may never answer."""
+        while True:
+            await self._views.wait_change()
+            view = self._views.view(self._data_centre)
+            for owner, scope in self._requests:
+                if view is not None and owner != view.primary:
+                    scope.cancel()
+
     # Waits.
 
+    async def _poll_loop(self) -> None:
+        """Poll the remote owner for the end of the jobs that callers wait for."""
+        while True:
+            waiter_added = self._waiter_added
+            if not self._waiters:
+                await waiter_added.wait()
+            jobs, self._new_jobs = self._new_jobs, set()
+            await self._poll(tuple(jobs or self._waiters))
+            if not self._new_jobs:
+                with trio.move_on_after(POLL_INTERVAL_S):
+                    await self._waiter_added.wait()
+
     async def _wait_ended(self, job: JobId, timeout_s: float) -> None:
         """Return once a job may have ended, or after the timeout."""
         dispatcher = self._owners.dispatcher(self._data_centre)
--- a/tests/test_remote_gateway.py
+++ b/tests/test_remote_gateway.py
@@ -8,6 +8,7 @@
 from currantwell.errors import Deposed, PeerUnreachable
 from currantwell.ids import Epoch, HostId
 from currantwell.owner_directory import OwnerDirectory
+from currantwell.remote_gateway import RETRY_PAUSE_S
 from currantwell.views import View, ViewTable
 from tests.builders import DATA_CENTRE, a_job_id, a_submission
 
@@ -110,6 +111,22 @@
     assert await network.gateway().submit(JOB) == OVERLOADED
 
 
+async def test_a_caller_does_not_wait_for_an_owner_that_was_replaced(
+    nursery, autojump_clock
+):
+    network = FakeNetwork(nursery)
+    network.owners[B], network.owners[C] = Owner(), Owner()
+    network.unresponsive.add(B)
+
+    async def take_over():
+        await trio.sleep(2.5)
+        await network.views.propose_view(View(DATA_CENTRE, Epoch(2), C))
+
+    nursery.start_soon(take_over)
+    assert await network.gateway().submit(JOB) == RUNNING
+    assert trio.current_time() < 2.5 + 2 * RETRY_PAUSE_S
+
+
 async def test_no_owner_at_all_is_unknown(nursery, autojump_clock):
     network = FakeNetwork(nursery)
     network.owners[B] = Owner()
