--- a/currantwell/backup_manager.py
+++ b/currantwell/backup_manager.py
@@ -30,6 +30,8 @@
 
 TICK_S = 0.2
 PAUSE_TIMEOUT_S = 1.0
+# New jobs are refused during this pause.
+PAUSE_WITHOUT_BACKUP_S = 0.25
 PROPOSE_TIMEOUT_S = 3.0
 LEAVE_REQUEST_VALID_S = 5.0
 REPAIR_PAUSE_S = 2.0
@@ -224,7 +226,8 @@
         """Return the hosts that would be a better backup than the present one.
 
         If two copies are required, a host of another data centre serves while none of
-        this one can; one of this data centre replaces it later.
+        this one can; one of this data centre replaces it later. Unresponsive hosts are
+        then returned only if there is no other host.
         """
         data_centre, backup = term.view.data_centre, term.view.backup
         unresponsive = {
@@ -232,19 +235,19 @@
             for host, since_s in self._unresponsive_since_s.items()
             if now_s() - since_s < AVOID_UNRESPONSIVE_S
         }
-        eligible = (
-            set(self._hosts)
-            - {self._host, backup}
-            - self._proposer.suspects()
-            - unresponsive
-        )
-        local = sorted(host for host in eligible if self._hosts[host] == data_centre)
-        if backup is not None:
-            return [] if self._hosts[backup] == data_centre else local
+        eligible = set(self._hosts) - {self._host, backup} - self._proposer.suspects()
+        responsive = eligible - unresponsive
+        local = {host for host in eligible if self._hosts[host] == data_centre}
+        if backup is not None and self._hosts[backup] == data_centre:
+            return []
         waited = now_s() - term.started_s > REMOTE_BACKUP_DELAY_S
-        if local or not waited or self._limits.copies < COPIES_FOR_REMOTE_BACKUP:
-            return local
-        return sorted(eligible)
+        two_needed = self._limits.copies >= COPIES_FOR_REMOTE_BACKUP
+        if local & responsive or backup is not None or not (waited and two_needed):
+            return sorted(local & responsive)
+        if responsive:
+            return sorted(responsive)
+        # The others become candidates again sooner.
+        return sorted(eligible, key=self._unresponsive_since_s.__getitem__)[-1:]
 
     def _backup_is_local(self, view: View) -> bool:
         """Return whether the backup, but not this host, is in the data centre."""
@@ -290,7 +293,8 @@
         self, term: PrimaryTerm, dispatcher: Dispatcher, next_view: View
     ) -> bool:
         """Wait for replies to pending starts, vouch for copies, propose a view."""
-        await dispatcher.pause(PAUSE_TIMEOUT_S)
+        refusing = term.log.second_copy_missing()
+        await dispatcher.pause(PAUSE_WITHOUT_BACKUP_S if refusing else PAUSE_TIMEOUT_S)
         with trio.move_on_after(PROPOSE_TIMEOUT_S):
             vouched = await term.log.vouch(next_view)
             return vouched and await self._proposer.propose_view(next_view)
