--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -1,10 +1,15 @@
 """Connections of an HTTP server: kept open, failing, closed as the server drains."""
 
+import socket
+
 import pytest
 import trio
 import trio.testing
+from hypercorn.config import Config
+from hypercorn.trio.worker_context import WorkerContext
 
 from currantwell import http_connection
+from currantwell.http_connection import HttpConnection
 from currantwell.http_server import HttpServer, bind
 from tests.step_counter import StepCounter
 
@@ -217,6 +222,25 @@
         assert await busy.receive_some() == b""
 
 
+async def test_a_request_that_arrives_as_its_idle_connection_closes_is_answered(
+    nursery,
+):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+    connection = HttpConnection(Echo(), Config(), WorkerContext(None), stream)
+    nursery.start_soon(connection.run)
+    await trio.testing.wait_all_tasks_blocked(0.01)
+    client.sendall(REQUEST)
+    connection.close_when_idle()
+    with trio.fail_after(5):
+        reply = await read_reply(
+            trio.SocketStream(trio.socket.from_stdlib_socket(client))
+        )
+    assert reply == (200, b"body")
+
+
 async def test_requests_that_outlast_the_grace_time_are_cut(nursery):
     app = Echo()
     app.release = trio.Event()
