Test that connections are closed which become idle after a late reply

With the limit of the idle time taken out no test failed; both of these do: one connection stayed for good, the other held up a drain until its limit.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -7,7 +7,7 @@
 import trio
 import trio.testing
 
-from currantwell import http_server
+from currantwell import http_connection, http_server
 from currantwell.http_server import HttpServer, bind
 
 PATIENCE_S = 5.0
@@ -256,3 +256,39 @@
     with trio.fail_after(PATIENCE_S):
         while len(os.listdir("/proc/self/fd")) > before:
             await trio.sleep(0.01)
+
+
+async def test_a_connection_that_is_idle_after_a_late_reply_is_closed(
+    nursery, monkeypatch
+):
+    monkeypatch.setattr(http_server, "READ_TIMEOUT_S", 0.1)
+    app = EchoApp()
+    app.may_reply = trio.Event()
+    server = HttpServer(app, bind("127.0.0.1", 0))
+    await nursery.start(server.run)
+    stream = await connect(server)
+    await stream.send_all(HEAD % 1 + b"body")
+    await trio.testing.wait_all_tasks_blocked(0.01)
+    app.may_reply.set()
+    with trio.fail_after(PATIENCE_S):
+        received = b""
+        while data := await stream.receive_some():
+            received += data
+    assert received.endswith(b"body")
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_connection_whose_reply_ended_after_the_notice_holds_up_no_drain(
+    server, nursery
+):
+    app = server._app
+    app.may_end_reply = trio.Event()
+    stream = await connect(server)
+    await stream.send_all(HEAD % 1 + b"body")
+    assert await stream.receive_some()
+    nursery.start_soon(server.drain)
+    await trio.sleep(2 * http_connection.LINGER_S)
+    app.may_end_reply.set()
+    with trio.fail_after(PATIENCE_S / 2):
+        while await stream.receive_some():
+            pass
