--- a/tests/cooperative/test_settings.py
+++ b/tests/cooperative/test_settings.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cooperative.settings import decode_settings
+from cooperative.settings import SETTINGS_VARIABLE, decode_settings, load_settings
 from currantwell.errors import SettingsInvalid
 
 TEXT = """node=frontend-valdres-1
@@ -43,3 +43,13 @@
 def test_a_malformed_number_is_refused():
     with pytest.raises(SettingsInvalid):
         decode_settings(TEXT.replace("hold_max_ms=1000", "hold_max_ms=soon"))
+
+
+@pytest.mark.parametrize("data", [None, TEXT.encode("utf-16")])
+def test_a_file_that_cannot_be_read_is_named(tmp_path, monkeypatch, data):
+    path = tmp_path / "settings"
+    if data is not None:
+        path.write_bytes(data)
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    with pytest.raises(SettingsInvalid, match=str(path)):
+        load_settings()
