Resolve host names in a thread again

A direct stream passed the name of a host to the socket, which resolves it in the event loop: no request, ping or timer was served until the name server answered or its timeout was reached. trio.open_tcp_stream, which it replaced, uses a thread. Addresses, which all hosts of a deployment use, are connected to as before.

Evidence: the new test fails without the change.

--- a/currantwell/direct_stream.py
+++ b/currantwell/direct_stream.py
@@ -9,7 +9,7 @@
 import os
 import socket
 from contextlib import suppress
-from typing import Self
+from typing import Any, Self
 
 import trio
 
@@ -112,17 +112,24 @@
 
 
 async def open_direct_stream(host: str, port: int) -> DirectStream:
-    """Connect to an IPv4 address.
+    """Connect to an IPv4 address, or to the first one of a host name.
 
     Raises
     ------
     OSError
         If the connection fails.
     """
+    address: Any = (host, port)
+    if not _is_ipv4_address(host):
+        # The socket would resolve the name itself, and block the event loop meanwhile.
+        found = await trio.socket.getaddrinfo(
+            host, port, socket.AF_INET, socket.SOCK_STREAM
+        )
+        address = found[0][4]
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         connection.setblocking(False)
-        error = connection.connect_ex((host, port))
+        error = connection.connect_ex(address)
         if error == errno.EINPROGRESS:
             await trio.lowlevel.wait_writable(connection)
             error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -132,3 +139,11 @@
     except BaseException:
         connection.close()
         raise
+
+
+def _is_ipv4_address(host: str) -> bool:
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        return False
+    return True
--- a/tests/test_direct_stream.py
+++ b/tests/test_direct_stream.py
@@ -79,6 +79,29 @@
         await open_direct_stream("127.0.0.1", port)
 
 
+class FixedResolver(trio.abc.HostnameResolver):
+    """Resolves each name to the loopback address."""
+
+    def __init__(self):
+        self.names = []
+
+    async def getaddrinfo(self, host, port, family=0, type=0, proto=0, flags=0):
+        self.names.append(host)
+        return [(family, type, proto, "", ("127.0.0.1", port))]
+
+    async def getnameinfo(self, sockaddr, flags):
+        raise NotImplementedError
+
+
+async def test_a_name_is_resolved_without_blocking_the_event_loop():
+    resolver = FixedResolver()
+    trio.socket.set_custom_hostname_resolver(resolver)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        stream = await open_direct_stream("localhost", listener.getsockname()[1])
+        stream.close()
+    assert resolver.names == [b"localhost"]
+
+
 async def test_a_stream_takes_over_the_connection_of_another():
     near, far = _connected_pair()
     near.setblocking(False)
