--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -97,6 +97,21 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_a_reply_that_its_application_cancels_is_complete(nursery):
+    async def app(scope, receive, send):
+        head = {"type": "http.response.start", "status": 200}
+        await send({**head, "headers": [(b"content-length", b"%d" % MANY_BYTES)]})
+        with trio.move_on_after(0.01):
+            await send({"type": "http.response.body", "body": bytes(MANY_BYTES)})
+
+    _, stream = await served(nursery, app)
+    await stream.send_all(REQUEST)
+    await trio.sleep(0.05)
+    with trio.fail_after(5):
+        assert await read_reply(stream) == (200, bytes(MANY_BYTES))
+    nursery.cancel_scope.cancel()
+
+
 async def test_a_failure_of_the_application_is_replied_to(nursery):
     app = Echo()
     app.fail = True
