--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -18,7 +19,7 @@
 from currantwell.process import HANDLED_SIGNALS, run_until_stopped
 from tests.builders import a_submission
 from tests.kept_connection import KeptConnection
-from tests.processes import STOP_TIMEOUT_S, one_host, write_settings
+from tests.processes import STOP_TIMEOUT_S, one_host, running, write_settings
 
 MODULE = (sys.executable, "-m", "currantwell")
 SCRIPT = (str(Path(sys.executable).with_name("currantwell")),)
@@ -283,3 +284,14 @@
             host.signal(signal.SIGTERM)
         assert [name for each in connections for name in each.unanswered] == []
         assert all(len(each.replies) > 3 for each in connections)
+
+
+def test_a_malformed_request_does_not_end_a_host(tmp_path):
+    path = write_settings(tmp_path, id="h", data_centre="valdres")
+    with running("host", "run", "--settings", str(path)) as host:
+        _, _, port = host.url.rpartition(":")
+        for _ in range(2):
+            with socket.create_connection(("127.0.0.1", int(port)), 5.0) as client:
+                client.sendall(b"nonsense\r\n\r\n")
+                assert client.recv(100).startswith(b"HTTP/1.1 400 ")
+        assert host.terminate() == 0
