--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -265,7 +265,7 @@
         self._parts = len(parts)
         self._router.log_routing(self._order, parts)
         if len(parts) == 1:
-            # Most jobs are; a task of its own would cost more than it does.
+            # Most jobs have one part; a task of its own would only cost time.
             with trio.CancelScope() as scope:
                 await self._run_part(parts[0], scope)
             return self._outcome or JobDone()
--- a/currantwell/fleet/keepalive.py
+++ b/currantwell/fleet/keepalive.py
@@ -40,7 +40,7 @@
 
     @classmethod
     def current(cls) -> "Keepalive":
-        """Return that of this run of the event loop; the first call starts it."""
+        """Return the instance of this event loop, started by the first call."""
         keepalive = _current.get(None)
         if keepalive is None:
             keepalive = cls()
@@ -54,11 +54,11 @@
         self.check_by(channel.next_check_s())
 
     def remove(self, channel: KeptAlive) -> None:
-        """Leave a channel alone from now on."""
+        """Stop keeping a channel alive."""
         self._channels.pop(channel, None)
 
     def check_by(self, due_s: float) -> None:
-        """Make sure that the channels are looked at by a time."""
+        """Make sure that the channels are checked by a time."""
         if due_s < self._wake_s:
             self._wake_s = due_s
             self._wake.set()
--- a/currantwell/http_connection.py
+++ b/currantwell/http_connection.py
@@ -1,12 +1,12 @@
 """One connection of an HTTP server: Hypercorn's protocol over a direct stream.
 
 Invariant: a request whose bytes were read gets its reply before the connection is
-closed, unless the client stops sending or the request is cancelled. The connection is
-closed by the task that reads from it, and only while no request has begun to arrive.
+closed, unless the client stops sending or the request is cancelled. An idle connection
+is closed by the task that reads from it, and only if no request has begun to arrive.
 
-Hypercorn's own connection passes the event loop at each lock, each write and each event
-of a request, and starts a task whenever the connection becomes idle. This one waits
-only for data, for room in a full buffer and for the application.
+Hypercorn's own connection yields to the event loop at each lock, each write and each
+event of a request, and starts a task whenever the connection becomes idle. This one
+waits only for data, for room in a full buffer and for the application.
 """
 
 import math
@@ -219,7 +219,7 @@
 
 
 class _RequestTasks(TaskGroup):
-    """Runs the application; its events are passed on without a pass of the loop."""
+    """Runs the application; passes events on without yielding to the event loop."""
 
     async def spawn_app(
         self,
--- a/currantwell/proposals.py
+++ b/currantwell/proposals.py
@@ -1,9 +1,9 @@
 """Exactly-once application of proposals that may be sent several times.
 
 Each process of a member numbers its proposals, and counts as started again once the
-member has rejoined. The replicated state keeps the results
-of those that the proposer may still send again. A proposal of an earlier process, of a
-former member, or one that its proposer no longer waits for is not applied.
+member has rejoined. The replicated state keeps the results of those that the proposer
+may still send again. A proposal of an earlier process, of a former member, or one that
+its proposer no longer waits for is not applied.
 """
 
 import dataclasses
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -292,8 +292,7 @@
 
 
 async def test_a_request_is_served_in_three_steps(nursery):
-    # One for its data, one for the application; Hypercorn's own connection took
-    # eighteen, the largest part of a host that only passes jobs on.
+    # One for its data, one for the application, one to wait for the next request.
     requests = 20
     _, stream = await served(nursery, Echo())
     await stream.send_all(REQUEST)
