--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -1,10 +1,15 @@
 """Connections of an HTTP server: kept open, failing, closed as the server drains."""
 
+import socket
+
 import pytest
 import trio
 import trio.testing
+from hypercorn.config import Config
+from hypercorn.trio.worker_context import WorkerContext
 
 from currantwell import http_connection
+from currantwell.http_connection import HttpConnection
 from currantwell.http_server import HttpServer, bind
 from tests.step_counter import StepCounter
 
@@ -92,6 +97,21 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_a_reply_that_its_application_cancels_is_complete(nursery):
+    async def app(scope, receive, send):
+        head = {"type": "http.response.start", "status": 200}
+        await send({**head, "headers": [(b"content-length", b"%d" % MANY_BYTES)]})
+        with trio.move_on_after(0.01):
+            await send({"type": "http.response.body", "body": bytes(MANY_BYTES)})
+
+    _, stream = await served(nursery, app)
+    await stream.send_all(REQUEST)
+    await trio.sleep(0.05)
+    with trio.fail_after(5):
+        assert await read_reply(stream) == (200, bytes(MANY_BYTES))
+    nursery.cancel_scope.cancel()
+
+
 async def test_a_failure_of_the_application_is_replied_to(nursery):
     app = Echo()
     app.fail = True
@@ -217,6 +237,25 @@
         assert await busy.receive_some() == b""
 
 
+async def test_a_request_that_arrives_as_its_idle_connection_closes_is_answered(
+    nursery,
+):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+    connection = HttpConnection(Echo(), Config(), WorkerContext(None), stream)
+    nursery.start_soon(connection.run)
+    await trio.testing.wait_all_tasks_blocked(0.01)
+    client.sendall(REQUEST)
+    connection.close_when_idle()
+    with trio.fail_after(5):
+        reply = await read_reply(
+            trio.SocketStream(trio.socket.from_stdlib_socket(client))
+        )
+    assert reply == (200, b"body")
+
+
 async def test_requests_that_outlast_the_grace_time_are_cut(nursery):
     app = Echo()
     app.release = trio.Event()
@@ -253,8 +292,7 @@
 
 
 async def test_a_request_is_served_in_three_steps(nursery):
-    # One for its data, one for the application; Hypercorn's own connection took
-    # eighteen, the largest part of a host that only passes jobs on.
+    # One for its data, one for the application, one to wait for the next request.
     requests = 20
     _, stream = await served(nursery, Echo())
     await stream.send_all(REQUEST)
