Count a new endpoint's low limit in the free capacity from the first

What callers saw: with all workers new, jobs refused with NOT_RUN_DEADLINE while workers of other data centres had room.

Cause: a new endpoint gets two tasks at a time until some have succeeded, but the limit was set only by the first plan that had tasks to place. Until then its dispatcher reported all slots free, and entry hosts sent it more jobs than it starts: four jobs of two tasks to two endpoints, of which two jobs waited for the tasks of the others (0.6 s, their limit to start is 0.67 s).

Change: the limit is set when the endpoint is registered. From the first plan on nothing is different. Test: 8 free before, of which 2 were started.

--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -221,6 +221,7 @@
         self._capacity_changed()
         load = self._endpoints[announcement.endpoint] = EndpointLoad(announcement)
         load.speed = self._policies.estimates.speed(load.id)
+        load.limit = self._policies.ejection.limits([load], now_s).get(load.id)
         for ref, (endpoint, task) in self._placed.items():
             if endpoint == announcement.endpoint:
                 load.add_running(ref, task)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -50,6 +50,12 @@
     assert len(scheduler.plan(0.0)) == 2
 
 
+def test_the_free_capacity_of_a_new_endpoint_is_what_it_gets(scheduler):
+    free = scheduler.free_capacity().free
+    add(scheduler, tasks=8)
+    assert len(scheduler.plan(0.0)) == free
+
+
 def test_no_more_starts_than_slots(scheduler):
     lift_trial_limit(scheduler)
     add(scheduler, tasks=20)
