Begin tests of drains with workers that get more than their first tasks

In the host logs, two of the four jobs were placed 0.607 to 0.624 s after they came, in passing runs too, and 0.67 s is the limit to start: new endpoints get two tasks at a time until some have succeeded, so these jobs waited for the tasks of the others, which take 0.6 s. 40 to 60 ms more, and one was refused, rightly; signals have no part in it. test_a_host_that_gets_sigterm_completes_its_requests has the same wait.

Both serve four short jobs first. What they check is unchanged: all requests are answered as completed, the host ends by itself, and the log has the signals.

--- a/tests/cooperative/test_programs.py
+++ b/tests/cooperative/test_programs.py
@@ -25,6 +25,12 @@
             await trio.sleep(0.1)
 
 
+async def until_proven(deployment, machine):
+    """Serve a few jobs: until then, each new worker gets few tasks at a time."""
+    for _ in range(4):
+        await until_served(deployment, machine)
+
+
 def starts(deployment):
     return [start for worker in deployment.workers for start in worker.started]
 
@@ -128,9 +134,10 @@
 
 async def test_a_host_that_gets_sigterm_completes_its_requests(tmp_path):
     async with deployed(tmp_path, entries=6) as deployment:
+        stopping = deployment.owner("valdres")
+        await until_proven(deployment, stopping)
         for worker in deployment.workers:
             worker.task_s = 0.3
-        stopping = deployment.owner("valdres")
         replies = []
 
         async def submit():
@@ -172,9 +179,10 @@
 async def test_a_signal_to_a_draining_host_cuts_no_request(tmp_path, number):
     # The default action of each signal ends the process at once.
     async with deployed(tmp_path) as deployment:
+        stopping = deployment.entries[0]
+        await until_proven(deployment, stopping)
         for worker in deployment.workers:
             worker.task_s = 0.6
-        stopping = deployment.entries[0]
         replies = []
 
         async def submit():
