Log the processors of a task with its placement

The largest tenth of a kind of jobs is counted by core-seconds, and the logs had no cores, so that it could not be told which of the failed jobs were in it, nor whether tasks that need more than half of an endpoint wait longer than others. The row of placements in job_part_ended ends with the processors now; the test of the recorded inputs failed before for want of the field.

--- a/currantwell/decisions.py
+++ b/currantwell/decisions.py
@@ -31,6 +31,8 @@
         Estimated run time at speed 1, in seconds.
     speed : float
         Estimated speed of the endpoint at that moment.
+    processors : float
+        Number of processors that the task needs.
     """
 
     task: int
@@ -40,6 +42,7 @@
     waited_s: float
     estimate_s: float
     speed: float
+    processors: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,6 +79,7 @@
                 waited_s,
                 task.estimate_s,
                 speed,
+                task.spec.processors,
             )
         )
 
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -339,7 +339,8 @@
     Level.INFO,
     "A job or a part of one ended at a dispatcher; tasks tells how and where each ran, "
     "placements for each attempt the task, its number, the endpoint, the reason, the "
-    "wait, the estimated run time and the estimated speed of the endpoint.",
+    "wait, the estimated run time, the estimated speed of the endpoint and the "
+    "processors that the task needs.",
 )
 JOB_ANSWERED = _event(
     801, "job_answered", Level.INFO, "A job is complete and its caller was answered."
--- a/currantwell/fleet/local_dispatch.py
+++ b/currantwell/fleet/local_dispatch.py
@@ -255,6 +255,7 @@
         round(placed.waited_s, 3),
         round(placed.estimate_s, 3),
         round(placed.speed, 2),
+        round(placed.processors, 2),
     )
 
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -145,12 +145,13 @@
 
 
 def test_a_placement_is_recorded_with_the_inputs_that_decided_it(scheduler):
-    add(scheduler, run_time_s=0.5)
+    add(scheduler, run_time_s=0.5, processors=1.5)
     scheduler.plan(0.25)
     (placed,) = scheduler.placements("job")
     assert (placed.task, placed.attempt, placed.endpoint) == (0, 1, "e")
     assert (placed.waited_s, placed.speed) == (0.25, scheduler.endpoint_speed("e"))
     assert placed.estimate_s == pytest.approx(0.5, rel=0.5)
+    assert placed.processors == 1.5
     assert scheduler.placements("unknown") == []
 
 
