Give a job up once no endpoint can end its waiting moved task in time

Callers of jobs that could no longer end in time got their answer at the deadline, and until then the other tasks of these jobs held places that jobs in time waited for.

Cause: a moved task waits for an endpoint that is fast enough. When the wait took too long, nothing noticed before the deadline: progress, by which late jobs are abandoned, is only reported by running attempts.

A job now also expires when a moved task of it waits that even the fastest usable endpoint, started now, can't end by the deadline. The run time is the lower bound that the first attempt showed, with all rounding in favour of the attempt, as for running ones; declared run times are not used, since they are often far off. While no endpoint is usable nothing is given up.

Two of the three new tests of the scheduler and the one of the dispatcher failed without the change; the third guards that a task that has started again does not expire.

--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -86,6 +86,14 @@
     stragglers: StragglerRule
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ObservedRunTime:
+    """The run time at speed 1 that an attempt showed, and its lower bound."""
+
+    run_s: float
+    min_run_s: float
+
+
 class Scheduler:
     """Keeps the waiting tasks and the endpoints, and matches them.
 
@@ -116,7 +124,8 @@
         self._in_backoff: list[tuple[float, int, WaitingTask]] = []
         self._backoff_sequence = 0
         self._newest_spec: TaskSpec | None = None
-        self._observed_run_s: dict[JobId, dict[int, float]] = {}
+        self._observed_run_times: dict[JobId, dict[int, _ObservedRunTime]] = {}
+        self._waiting_moved: dict[JobId, dict[int, WaitingTask]] = {}
         self._free_capacity: FreeCapacity | None = None
 
     @property
@@ -189,6 +198,8 @@
         waiting = self._waiting.setdefault(request.job, {})
         for task in tasks:
             waiting[task.task] = task
+            if task.moved:
+                self._waiting_moved.setdefault(request.job, {})[task.task] = task
             self._backlog.add(task)
         heapq.heappush(self._deadlines, (request.deadline_s, request.job))
         if request.start_by_s < request.deadline_s:
@@ -271,7 +282,7 @@
             return
         self._capacity_changed()
         if code is ResultCode.COMPLETE:
-            self._pop_observed_run_s(ref.job, ref.task)
+            self._pop_observed_run_time(ref.job, ref.task)
         load = self._endpoints.get(endpoint)
         if load is not None:
             load.remove_running(ref)
@@ -292,8 +303,9 @@
         """Return the jobs that have expired while tasks of them wait.
 
         A job expires at its deadline, or at the time by which its first task had to
-        start if none of its tasks was placed by then. A limit that has passed is
-        removed, so that it is reported once; the tasks wait until `remove` is called.
+        start if none of its tasks was placed by then, or once a moved task waits that
+        no usable endpoint ends in time. A limit that has passed is removed, so that it
+        is reported once; the tasks wait until `remove` is called.
         """
         jobs = []
         while self._start_limits and self._start_limits[0][0] <= now_s:
@@ -304,6 +316,10 @@
             _, job = heapq.heappop(self._deadlines)
             if job in self._waiting:
                 jobs.append(job)
+        for job, limit_s in self._latest_starts_of_moved_tasks().items():
+            if limit_s <= now_s:
+                del self._waiting_moved[job]
+                jobs.append(job)
         return jobs
 
     def next_expiry_s(self) -> float:
@@ -321,8 +337,34 @@
         limits = [
             queue[0][0] for queue in (self._start_limits, self._deadlines) if queue
         ]
+        limits += self._latest_starts_of_moved_tasks().values()
         return min(limits, default=math.inf)
 
+    def _latest_starts_of_moved_tasks(self) -> dict[JobId, float]:
+        """Return when it becomes too late for a waiting moved task, for each job.
+
+        That is when the fastest endpoint would no longer end it by the deadline, even
+        if it were free. Empty while no endpoint is usable.
+        """
+        if not self._waiting_moved:
+            return {}
+        fastest = self._fastest_usable_speed()
+        if fastest <= 0:
+            return {}
+        return {
+            job: min(
+                task.deadline_s - task.min_run_s / fastest for task in tasks.values()
+            )
+            for job, tasks in self._waiting_moved.items()
+        }
+
+    def _fastest_usable_speed(self) -> float:
+        """Return the highest speed of a usable endpoint, 0 if there is none."""
+        return max(
+            (load.speed for load in self._endpoints.values() if load.usable()),
+            default=0.0,
+        )
+
     def _was_never_placed(self, job: JobId) -> bool:
         """Return whether a job waits and none of its tasks was ever placed."""
         waiting = self._waiting.get(job, {}).values()
@@ -356,11 +398,11 @@
     ) -> RestartEstimate:
         """Return the estimated run time of a new attempt at the fastest endpoint."""
         endpoint, task = self._placed.get(ref, (None, None))
-        speeds = [load.speed for load in self._endpoints.values() if load.usable()]
-        if task is None or endpoint not in self._endpoints or not speeds:
+        fastest = self._fastest_usable_speed()
+        if task is None or endpoint not in self._endpoints or fastest <= 0:
             return RestartEstimate(math.inf, math.inf)
-        run_s = self._run_s_at_speed_1(endpoint, progress)
-        return RestartEstimate(run_s / max(speeds), task.estimate_s / max(speeds))
+        run_s = self._observed_run_time(endpoint, progress).run_s
+        return RestartEstimate(run_s / fastest, task.estimate_s / fastest)
 
     def record_observed_run_time(
         self, ref: AttemptRef, progress: AttemptProgress
@@ -368,19 +410,24 @@
         """Use the run time observed in an attempt as the estimate for the next one."""
         endpoint, _ = self._placed.get(ref, (None, None))
         if endpoint is not None and endpoint in self._endpoints:
-            run_s = self._run_s_at_speed_1(endpoint, progress)
-            self._observed_run_s.setdefault(ref.job, {})[ref.task] = run_s
+            observed = self._observed_run_time(endpoint, progress)
+            self._observed_run_times.setdefault(ref.job, {})[ref.task] = observed
 
-    def _run_s_at_speed_1(
+    def _observed_run_time(
         self, endpoint: EndpointId, progress: AttemptProgress
-    ) -> float:
-        """Return the run time at speed 1 that the progress of an attempt implies."""
-        return (progress.run_s + progress.left_s) * self._endpoints[endpoint].speed
+    ) -> _ObservedRunTime:
+        """Return the run time that the progress of an attempt implies."""
+        speed = self._endpoints[endpoint].speed
+        return _ObservedRunTime(
+            (progress.run_s + progress.left_s) * speed,
+            (progress.run_s + progress.min_left_s) * speed,
+        )
 
     def remove(self, job: JobId) -> None:
         """Remove all waiting tasks of a job from the queue."""
         self._capacity_changed()
-        self._observed_run_s.pop(job, None)
+        self._observed_run_times.pop(job, None)
+        self._waiting_moved.pop(job, None)
         for task in self._waiting.pop(job, {}).values():
             self._policies.ordering.discard(task)
             self._backlog.remove(task)
@@ -448,10 +495,9 @@
         """Move a task from the queue to an endpoint and charge its team."""
         placed = PlacedTask(task, load.id, load.announcement.incarnation)
         task.started_s = now_s
-        waiting = self._waiting[task.job]
-        del waiting[task.task]
-        if not waiting:
-            del self._waiting[task.job]
+        _remove_task(self._waiting, task)
+        if task.moved:
+            _remove_task(self._waiting_moved, task)
         self._backlog.remove(task)
         self._policies.ordering.discard(task)
         self._policies.ordering.record_start(task, now_s)
@@ -484,10 +530,12 @@
         now_s: float,
     ) -> WaitingTask:
         spec = request.tasks[index]
-        estimate_s = self._pop_observed_run_s(request.job, index)
-        moved = estimate_s is not None
-        if estimate_s is None:
-            estimate_s = self._policies.estimates.estimate_s(spec.kind, spec.run_time_s)
+        observed = self._pop_observed_run_time(request.job, index)
+        estimate_s = (
+            self._policies.estimates.estimate_s(spec.kind, spec.run_time_s)
+            if observed is None
+            else observed.run_s
+        )
         queued_job.tasks += 1
         queued_job.work_s += estimate_s
         queued_job.longest_s = max(queued_job.longest_s, estimate_s)
@@ -503,18 +551,19 @@
             estimate_s >= LONG_TASK_S,
             queued_job,
             shape_of(spec),
-            moved=moved,
+            moved=observed is not None,
+            min_run_s=0.0 if observed is None else observed.min_run_s,
         )
 
-    def _pop_observed_run_s(self, job: JobId, task: int) -> float | None:
+    def _pop_observed_run_time(self, job: JobId, task: int) -> _ObservedRunTime | None:
         """Remove and return the run time that an earlier attempt of a task showed."""
-        run_times_s = self._observed_run_s.get(job)
-        if run_times_s is None:
+        run_times = self._observed_run_times.get(job)
+        if run_times is None:
             return None
-        run_s = run_times_s.pop(task, None)
-        if not run_times_s:
-            del self._observed_run_s[job]
-        return run_s
+        observed = run_times.pop(task, None)
+        if not run_times:
+            del self._observed_run_times[job]
+        return observed
 
     def _start_backoff(self, task: WaitingTask, delay_s: float, now_s: float) -> None:
         self._backoff_sequence += 1
@@ -534,6 +583,16 @@
                 self._start_backoff(task, BUDGET_RECHECK_S, now_s)
 
 
+def _remove_task(
+    waiting: dict[JobId, dict[int, WaitingTask]], task: WaitingTask
+) -> None:
+    """Remove a task, and its job if no other task of it is left."""
+    tasks = waiting.get(task.job, {})
+    tasks.pop(task.task, None)
+    if not tasks:
+        waiting.pop(task.job, None)
+
+
 def _negative_speed(load: EndpointLoad) -> float:
     return -load.speed
 
--- a/currantwell/scheduler_types.py
+++ b/currantwell/scheduler_types.py
@@ -109,6 +109,9 @@
     moved : bool
         Whether an earlier attempt was stopped because its endpoint was too slow, so
         that `estimate_s` is the run time observed in that attempt.
+    min_run_s : float
+        Lower bound of the run time at speed 1 by that attempt, in seconds; 0 if there
+        is none.
     """
 
     job: JobId
@@ -125,6 +128,7 @@
     started_s: float = 0.0
     waits_for_faster_since_s: float | None = None
     moved: bool = False
+    min_run_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -425,6 +425,34 @@
     assert [start.ref.attempt for start in bench.links["fast.1"].starts] == [2] * moved
 
 
+async def test_a_job_ends_once_its_moved_task_waits_in_vain(nursery, clock):
+    bench = Bench(policies=by_speed(**{"e-1": 0.5, "fast": 2.0}))
+    job = a_submission(
+        tasks=2, restart=RestartRule.IF_OVER, deadline_s=2.0, give_up_early=True
+    )
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    await bench.dispatcher.submit(job)
+    deadline_s = trio.current_time() + job.deadline_s
+    await settle()
+    await bench.dispatcher.announce(an_announcement("fast", slots=1))
+    await bench.dispatcher.submit(a_submission("other", run_time_s=5.0, deadline_s=9.0))
+    await settle()
+    moved, runs = (AttemptRef(a_job_id(job), index, 1) for index in range(2))
+    bench.dispatcher.progress_received(
+        E1.endpoint, {moved: AttemptProgress(0.1, 3.9, 3.9)}
+    )
+    await bench.link.results(ResultLine(1, moved, ResultCode.TASK_STOPPED))
+    await trio.sleep_until(deadline_s - 1.1)
+    assert bench.link.stops == [moved]
+    await trio.sleep_until(deadline_s - 0.9)
+    assert bench.link.stops == [moved, runs]
+    await bench.link.results(ResultLine(2, runs, ResultCode.TASK_STOPPED))
+    answer = await bench.dispatcher.wait(a_job_id(job), 0.1)
+    assert answer.code is ResultCode.DEADLINE_PASSED
+    assert trio.current_time() < deadline_s - 0.8
+
+
 async def test_a_job_that_may_still_be_in_time_is_not_abandoned(nursery, clock):
     bench = Bench()
     job = a_submission(run_time_s=5.0, deadline_s=2.0, give_up_early=True)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -234,3 +234,48 @@
     scheduler.attempt_ended(first.ref, ResultCode.TASK_STOPPED, 10.0, 10.0)
     add(scheduler, attempt=2, now_s=10.0, run_time_s=0.4)
     assert [item.endpoint for item in scheduler.plan(11.0)] == ["slow"]
+
+
+def scheduler_with_a_waiting_moved_task():
+    """A task at 10 s that takes 80 to 100 s at speed 1, with a deadline at 60 s."""
+    scheduler = Scheduler(by_speed(slow=0.5, fast=2.0))
+    announce(scheduler, "slow", slots=1)
+    add(scheduler, run_time_s=0.4)
+    (first,) = scheduler.plan(0.0)
+    announce(scheduler, "fast", slots=1)
+    add(scheduler, "other", run_time_s=0.4)
+    scheduler.plan(0.0)
+    progress = AttemptProgress(10.0, 190.0, 150.0)
+    scheduler.record_observed_run_time(first.ref, progress)
+    scheduler.attempt_ended(first.ref, ResultCode.TASK_STOPPED, 10.0, 10.0)
+    add(scheduler, attempt=2, now_s=10.0, run_time_s=0.4)
+    return scheduler
+
+
+def test_a_job_expires_once_no_endpoint_ends_its_waiting_moved_task_in_time():
+    scheduler = scheduler_with_a_waiting_moved_task()
+    assert scheduler.plan(19.0) == []
+    assert scheduler.next_expiry_s() == 20.0
+    assert scheduler.pop_expired_jobs(19.9) == []
+    assert scheduler.pop_expired_jobs(20.0) == ["job"]
+    assert scheduler.pop_expired_jobs(20.0) == []
+    scheduler.remove("job")
+    assert scheduler.next_expiry_s() > 20.0
+
+
+def test_a_moved_task_that_has_started_again_does_not_expire():
+    scheduler = scheduler_with_a_waiting_moved_task()
+    (other,) = [ref for load in scheduler.endpoints for ref in load.running]
+    scheduler.attempt_ended(other, ResultCode.COMPLETE, 0.2, 11.0)
+    assert [item.endpoint for item in scheduler.plan(11.0)] == ["fast"]
+    assert scheduler.next_expiry_s() > 20.0
+    assert scheduler.pop_expired_jobs(20.0) == []
+
+
+def test_a_moved_task_does_not_expire_early_while_no_endpoint_is_usable():
+    scheduler = scheduler_with_a_waiting_moved_task()
+    for endpoint in ("slow", "fast"):
+        scheduler.set_endpoint_reachable(endpoint, False)
+    assert scheduler.pop_expired_jobs(20.0) == []
+    scheduler.set_endpoint_reachable("fast", True)
+    assert scheduler.pop_expired_jobs(20.0) == ["job"]
