Estimate waiting tasks by the progress of alike tasks of their job

Cause: a waiting task kept the estimate by its declared run time to its start.

Reports of progress now set the estimate of the waiting tasks of a job that are declared alike (same kind, same run time) to the median of what its running tasks show. Order and placement use it as any other estimate. The estimate of a moved task, which is of that task itself, stays. `test_tasks_that_wait_are_estimated_by_the_progress_of_alike_ tasks_of_their_job` and `test_progress_of_a_task_changes_the_estimate_of_those_that_wait` failed with the change of estimates taken out.

--- /dev/null
+++ b/currantwell/job_progress.py
@@ -0,0 +1,70 @@
+"""Run times of a job's tasks by the progress of those that run.
+
+Tasks that a job declares to be alike, that is of the same kind and with the same run
+time, are expected to run equally long, however far the declared run time is off.
+
+No I/O and no clock. All run times are in seconds at speed 1.
+"""
+
+import dataclasses
+import statistics
+
+from .endpoint_protocol import AttemptRef
+from .ids import JobId
+from .submission import TaskSpec
+
+__all__ = ["JobProgress", "are_alike"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RunningTask:
+    """A running task with the run time that its progress shows."""
+
+    spec: TaskSpec
+    run_s: float
+
+
+class JobProgress:
+    """Keeps the run times that running attempts show, by job."""
+
+    def __init__(self) -> None:
+        self._running: dict[JobId, dict[int, _RunningTask]] = {}
+
+    def record(self, ref: AttemptRef, spec: TaskSpec, run_s: float) -> None:
+        """Record the run time that a running attempt shows now."""
+        running = self._running.setdefault(ref.job, {})
+        running[ref.task] = _RunningTask(spec, run_s)
+
+    def forget(self, ref: AttemptRef) -> None:
+        """Forget an attempt that has ended."""
+        running = self._running.get(ref.job, {})
+        running.pop(ref.task, None)
+        if not running:
+            self._running.pop(ref.job, None)
+
+    def run_time_s(self, job: JobId, spec: TaskSpec) -> float | None:
+        """Return the median run time that running tasks like a given one show.
+
+        Parameters
+        ----------
+        job : JobId
+            The job.
+        spec : TaskSpec
+            The task.
+
+        Returns
+        -------
+        float or None
+            The run time in seconds at speed 1, None if nothing is known.
+        """
+        run_times_s = [
+            running.run_s
+            for running in self._running.get(job, {}).values()
+            if are_alike(running.spec, spec)
+        ]
+        return statistics.median(run_times_s) if run_times_s else None
+
+
+def are_alike(first: TaskSpec, second: TaskSpec) -> bool:
+    """Return whether two tasks of a job are expected to run equally long."""
+    return (first.kind, first.run_time_s) == (second.kind, second.run_time_s)
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -22,6 +22,7 @@
 from .endpoint_load import EndpointLoad
 from .endpoint_protocol import Announcement, AttemptRef
 from .ids import EndpointId, JobId
+from .job_progress import JobProgress, are_alike
 from .policies import (
     Admission,
     Ejection,
@@ -126,6 +127,7 @@
         self._newest_spec: TaskSpec | None = None
         self._observed_run_times: dict[JobId, dict[int, _ObservedRunTime]] = {}
         self._waiting_moved: dict[JobId, dict[int, WaitingTask]] = {}
+        self._progress = JobProgress()
         self._free_capacity: FreeCapacity | None = None
 
     @property
@@ -281,6 +283,7 @@
         if endpoint is None or task is None:
             return
         self._capacity_changed()
+        self._progress.forget(ref)
         if code is ResultCode.COMPLETE:
             self._pop_observed_run_time(ref.job, ref.task)
         load = self._endpoints.get(endpoint)
@@ -404,6 +407,38 @@
         run_s = self._observed_run_time(endpoint, progress).run_s
         return RestartEstimate(run_s / fastest, task.estimate_s / fastest)
 
+    def record_progress(self, ref: AttemptRef, progress: AttemptProgress) -> None:
+        """Estimate the waiting tasks of a job by the progress of its running ones.
+
+        Of the tasks that a job declares to be alike, those that wait are expected to
+        run as long as those that run.
+        """
+        endpoint, task = self._placed.get(ref, (None, None))
+        if task is None or endpoint is None or endpoint not in self._endpoints:
+            return
+        run_s = self._observed_run_time(endpoint, progress).run_s
+        self._progress.record(ref, task.spec, run_s)
+        estimate_s = self._progress.run_time_s(ref.job, task.spec)
+        waiting = [
+            other
+            for other in self._waiting.get(ref.job, {}).values()
+            if not other.moved and are_alike(other.spec, task.spec)
+        ]
+        if waiting and estimate_s is not None:
+            self._capacity_changed()
+            for other in waiting:
+                self._change_estimate(other, estimate_s)
+
+    def _change_estimate(self, task: WaitingTask, estimate_s: float) -> None:
+        """Replace the estimated run time of a waiting task."""
+        self._backlog.remove(task)
+        queued_job = task.queued_job
+        if queued_job is not None:
+            queued_job.work_s += estimate_s - task.estimate_s
+            queued_job.longest_s = max(queued_job.longest_s, estimate_s)
+        task.estimate_s = estimate_s
+        self._backlog.add(task)
+
     def record_observed_run_time(
         self, ref: AttemptRef, progress: AttemptProgress
     ) -> None:
@@ -496,8 +531,7 @@
         placed = PlacedTask(task, load.id, load.announcement.incarnation)
         task.started_s = now_s
         _remove_task(self._waiting, task)
-        if task.moved:
-            _remove_task(self._waiting_moved, task)
+        _remove_task(self._waiting_moved, task)
         self._backlog.remove(task)
         self._policies.ordering.discard(task)
         self._policies.ordering.record_start(task, now_s)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -17,7 +17,7 @@
 )
 from currantwell.endpoint_protocol import AdoptReply, AttemptRef, Heartbeat, ResultLine
 from currantwell.errors import Deposed, StorageFailed
-from currantwell.ids import Epoch, Incarnation
+from currantwell.ids import EndpointId, Epoch, Incarnation
 from currantwell.job_log import LocalJobLog
 from currantwell.journal import MemoryJournal
 from currantwell.progress import AttemptProgress
@@ -425,6 +425,22 @@
     assert [start.ref.attempt for start in bench.links["fast.1"].starts] == [2] * moved
 
 
+async def test_progress_of_a_task_changes_the_estimate_of_those_that_wait(
+    nursery, clock
+):
+    bench = Bench(policies=by_speed(**{"e-1": 1.0}))
+    job = a_submission(tasks=2, run_time_s=0.3)
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(an_announcement("e-1", slots=1))
+    await bench.dispatcher.submit(job)
+    await settle()
+    (first,) = bench.links["e-1.1"].starts
+    bench.dispatcher.progress_received(
+        EndpointId("e-1"), {first.ref: AttemptProgress(0.1, 0.7, 0.7)}
+    )
+    assert bench.dispatcher.free_capacity().waiting_s == pytest.approx(0.8)
+
+
 async def test_a_job_ends_once_its_moved_task_waits_in_vain(nursery, clock):
     bench = Bench(policies=by_speed(**{"e-1": 0.5, "fast": 2.0}))
     job = a_submission(
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -279,3 +279,23 @@
     assert scheduler.pop_expired_jobs(20.0) == []
     scheduler.set_endpoint_reachable("fast", True)
     assert scheduler.pop_expired_jobs(20.0) == ["job"]
+
+
+def test_tasks_that_wait_are_estimated_by_the_progress_of_alike_tasks_of_their_job():
+    scheduler = Scheduler(by_speed(slow=0.5, usual=1.0))
+    announce(scheduler, "slow", slots=2)
+    alike, other = TaskSpec("x", run_time_s=0.4), TaskSpec("x", run_time_s=0.1)
+    for job, specs in {"job": [alike] * 3 + [other], "later": [alike]}.items():
+        request = JobRequest(job, "team", specs, 60.0)
+        scheduler.add(request, {index: 1 for index in range(len(specs))}, 0.0)
+    placed = scheduler.plan(0.0)
+    assert [item.ref.task for item in placed] == [0, 1]
+    scheduler.record_progress(placed[0].ref, AttemptProgress(1.0, 3.0, 3.0))
+    assert scheduler.free_capacity().waiting_s == pytest.approx(2.0 + 0.1 + 0.4)
+    scheduler.record_progress(placed[1].ref, AttemptProgress(1.0, 1.0, 1.0))
+    assert scheduler.free_capacity().waiting_s == pytest.approx(1.5 + 0.1 + 0.4)
+    announce(scheduler, "usual", slots=8)
+    scheduler.plan(1.0)
+    estimates_s = [item.estimate_s for item in scheduler.placements("job")]
+    assert sorted(estimates_s) == pytest.approx([0.1, 0.4, 0.4, 1.5])
+    assert scheduler.free_capacity().waiting_s == 0.0
