--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -17,7 +17,7 @@
 )
 from currantwell.endpoint_protocol import AdoptReply, AttemptRef, Heartbeat, ResultLine
 from currantwell.errors import Deposed, StorageFailed
-from currantwell.ids import Epoch, Incarnation
+from currantwell.ids import EndpointId, Epoch, Incarnation
 from currantwell.job_log import LocalJobLog
 from currantwell.journal import MemoryJournal
 from currantwell.progress import AttemptProgress
@@ -425,6 +425,81 @@
     assert [start.ref.attempt for start in bench.links["fast.1"].starts] == [2] * moved
 
 
+@pytest.mark.parametrize(
+    ("other_left_s", "restarted"), [(0.2, True), (9.0, False)], ids=["slow", "long"]
+)
+async def test_an_attempt_is_not_stalled_if_alike_ones_take_as_long_elsewhere(
+    nursery, clock, other_left_s, restarted
+):
+    bench = Bench(policies=by_speed(**{"e-1": 1.0, "e-2": 1.0}))
+    job = a_submission(
+        tasks=2,
+        restart=RestartRule.IF_OVER,
+        run_time_s=0.3,
+        deadline_s=2.0,
+        give_up_early=True,
+    )
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(an_announcement("e-1", slots=1))
+    await bench.dispatcher.announce(an_announcement("e-2", slots=1))
+    await bench.dispatcher.submit(job)
+    await settle()
+    ((first,), (second,)) = (link.starts for link in bench.links.values())
+    bench.dispatcher.progress_received(
+        EndpointId("e-2"), {second.ref: AttemptProgress(0.1, other_left_s, 0.2)}
+    )
+    bench.dispatcher.progress_received(
+        EndpointId("e-1"), {first.ref: AttemptProgress(0.1, 9.0, 9.0)}
+    )
+    assert first.ref in bench.links["e-1.1"].stops
+    state = bench.dispatcher.table.jobs[a_job_id(job)]
+    assert (state.cancel_code is None) is restarted
+
+
+async def test_progress_of_a_task_changes_the_estimate_of_those_that_wait(
+    nursery, clock
+):
+    bench = Bench(policies=by_speed(**{"e-1": 1.0}))
+    job = a_submission(tasks=2, run_time_s=0.3)
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(an_announcement("e-1", slots=1))
+    await bench.dispatcher.submit(job)
+    await settle()
+    (first,) = bench.links["e-1.1"].starts
+    bench.dispatcher.progress_received(
+        EndpointId("e-1"), {first.ref: AttemptProgress(0.1, 0.7, 0.7)}
+    )
+    assert bench.dispatcher.free_capacity().waiting_s == pytest.approx(0.8)
+
+
+async def test_a_job_ends_once_its_moved_task_waits_in_vain(nursery, clock):
+    bench = Bench(policies=by_speed(**{"e-1": 0.5, "fast": 2.0}))
+    job = a_submission(
+        tasks=2, restart=RestartRule.IF_OVER, deadline_s=2.0, give_up_early=True
+    )
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    await bench.dispatcher.submit(job)
+    deadline_s = trio.current_time() + job.deadline_s
+    await settle()
+    await bench.dispatcher.announce(an_announcement("fast", slots=1))
+    await bench.dispatcher.submit(a_submission("other", run_time_s=5.0, deadline_s=9.0))
+    await settle()
+    moved, runs = (AttemptRef(a_job_id(job), index, 1) for index in range(2))
+    bench.dispatcher.progress_received(
+        E1.endpoint, {moved: AttemptProgress(0.1, 3.9, 3.9)}
+    )
+    await bench.link.results(ResultLine(1, moved, ResultCode.TASK_STOPPED))
+    await trio.sleep_until(deadline_s - 1.1)
+    assert bench.link.stops == [moved]
+    await trio.sleep_until(deadline_s - 0.9)
+    assert bench.link.stops == [moved, runs]
+    await bench.link.results(ResultLine(2, runs, ResultCode.TASK_STOPPED))
+    answer = await bench.dispatcher.wait(a_job_id(job), 0.1)
+    assert answer.code is ResultCode.DEADLINE_PASSED
+    assert trio.current_time() < deadline_s - 0.8
+
+
 async def test_a_job_that_may_still_be_in_time_is_not_abandoned(nursery, clock):
     bench = Bench()
     job = a_submission(run_time_s=5.0, deadline_s=2.0, give_up_early=True)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -151,12 +151,13 @@
 
 
 def test_a_placement_is_recorded_with_the_inputs_that_decided_it(scheduler):
-    add(scheduler, run_time_s=0.5)
+    add(scheduler, run_time_s=0.5, processors=1.5)
     scheduler.plan(0.25)
     (placed,) = scheduler.placements("job")
     assert (placed.task, placed.attempt, placed.endpoint) == (0, 1, "e")
     assert (placed.waited_s, placed.speed) == (0.25, scheduler.endpoint_speed("e"))
     assert placed.estimate_s == pytest.approx(0.5, rel=0.5)
+    assert placed.processors == 1.5
     assert scheduler.placements("unknown") == []
 
 
@@ -239,3 +240,88 @@
     scheduler.attempt_ended(first.ref, ResultCode.TASK_STOPPED, 10.0, 10.0)
     add(scheduler, attempt=2, now_s=10.0, run_time_s=0.4)
     assert [item.endpoint for item in scheduler.plan(11.0)] == ["slow"]
+
+
+def scheduler_with_a_waiting_moved_task():
+    """A task at 10 s that takes 80 to 100 s at speed 1, with a deadline at 60 s."""
+    scheduler = Scheduler(by_speed(slow=0.5, fast=2.0))
+    announce(scheduler, "slow", slots=1)
+    add(scheduler, run_time_s=0.4)
+    (first,) = scheduler.plan(0.0)
+    announce(scheduler, "fast", slots=1)
+    add(scheduler, "other", run_time_s=0.4)
+    scheduler.plan(0.0)
+    progress = AttemptProgress(10.0, 190.0, 150.0)
+    scheduler.record_observed_run_time(first.ref, progress)
+    scheduler.attempt_ended(first.ref, ResultCode.TASK_STOPPED, 10.0, 10.0)
+    add(scheduler, attempt=2, now_s=10.0, run_time_s=0.4)
+    return scheduler
+
+
+def test_a_job_expires_once_no_endpoint_ends_its_waiting_moved_task_in_time():
+    scheduler = scheduler_with_a_waiting_moved_task()
+    assert scheduler.plan(19.0) == []
+    assert scheduler.next_expiry_s() == 20.0
+    assert scheduler.pop_expired_jobs(19.9) == []
+    assert scheduler.pop_expired_jobs(20.0) == ["job"]
+    assert scheduler.pop_expired_jobs(20.0) == []
+    scheduler.remove("job")
+    assert scheduler.next_expiry_s() > 20.0
+
+
+def test_a_moved_task_that_has_started_again_does_not_expire():
+    scheduler = scheduler_with_a_waiting_moved_task()
+    (other,) = [ref for load in scheduler.endpoints for ref in load.running]
+    scheduler.attempt_ended(other, ResultCode.COMPLETE, 0.2, 11.0)
+    assert [item.endpoint for item in scheduler.plan(11.0)] == ["fast"]
+    assert scheduler.next_expiry_s() > 20.0
+    assert scheduler.pop_expired_jobs(20.0) == []
+
+
+def test_a_moved_task_does_not_expire_early_while_no_endpoint_is_usable():
+    scheduler = scheduler_with_a_waiting_moved_task()
+    for endpoint in ("slow", "fast"):
+        scheduler.set_endpoint_reachable(endpoint, False)
+    assert scheduler.pop_expired_jobs(20.0) == []
+    scheduler.set_endpoint_reachable("fast", True)
+    assert scheduler.pop_expired_jobs(20.0) == ["job"]
+
+
+def test_tasks_that_wait_are_estimated_by_the_progress_of_alike_tasks_of_their_job():
+    scheduler = Scheduler(by_speed(slow=0.5, usual=1.0))
+    announce(scheduler, "slow", slots=2)
+    alike, other = TaskSpec("x", run_time_s=0.4), TaskSpec("x", run_time_s=0.1)
+    for job, specs in {"job": [alike] * 3 + [other], "later": [alike]}.items():
+        request = JobRequest(job, "team", specs, 60.0)
+        scheduler.add(request, {index: 1 for index in range(len(specs))}, 0.0)
+    placed = scheduler.plan(0.0)
+    assert [item.ref.task for item in placed] == [0, 1]
+    scheduler.record_progress(placed[0].ref, AttemptProgress(1.0, 3.0, 3.0))
+    assert scheduler.free_capacity().waiting_s == pytest.approx(2.0 + 0.1 + 0.4)
+    scheduler.record_progress(placed[1].ref, AttemptProgress(1.0, 1.0, 1.0))
+    assert scheduler.free_capacity().waiting_s == pytest.approx(1.5 + 0.1 + 0.4)
+    announce(scheduler, "usual", slots=8)
+    scheduler.plan(1.0)
+    estimates_s = [item.estimate_s for item in scheduler.placements("job")]
+    assert sorted(estimates_s) == pytest.approx([0.1, 0.4, 0.4, 1.5])
+    assert scheduler.free_capacity().waiting_s == 0.0
+
+
+@pytest.mark.parametrize(
+    ("endpoint", "usual_s"), [("other", 1.5), ("slow", 0.1)], ids=["other", "same"]
+)
+def test_a_restart_is_estimated_by_alike_tasks_of_the_job_at_other_endpoints(
+    endpoint, usual_s
+):
+    scheduler = Scheduler(by_speed(slow=0.5, other=1.0, fast=2.0))
+    announce(scheduler, "slow", slots=1)
+    add(scheduler, tasks=2, run_time_s=0.2)
+    (first,) = scheduler.plan(0.0)
+    announce(scheduler, endpoint, slots=2)
+    (second,) = scheduler.plan(0.0)
+    announce(scheduler, "fast", slots=1)
+    second_run_s = 3.0 / scheduler.endpoint_speed(endpoint)
+    progress = AttemptProgress(0.0, second_run_s, second_run_s)
+    scheduler.record_progress(second.ref, progress)
+    estimate = scheduler.estimate_restart(first.ref, AttemptProgress(1.0, 9.0, 9.0))
+    assert estimate.if_usual_s == pytest.approx(usual_s)
