Estimate the waiting tasks of a job once for each message

Each run that a message reports set the estimates of all waiting tasks of its job anew, and counted the running ones for it: with 400 tasks running and as many waiting some 800 steps for each of the runs. Now a message does so once for a job, and not at all where no task waits. The result is the same; the tests of the scheduler, the dispatcher and the load pass.

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -419,8 +419,7 @@
         started again; otherwise the job is abandoned. Applies only to jobs that
         allow it by `give_up_early`.
         """
-        for ref, report in progress.items():
-            self._scheduler.record_progress(ref, report)
+        self._scheduler.record_progress(progress)
         for ref, report in progress.items():
             job = self.table.jobs.get(ref.job)
             if job is None or not job.submission.give_up_early or job.cannot_complete:
--- a/currantwell/job_progress.py
+++ b/currantwell/job_progress.py
@@ -13,7 +13,9 @@
 from .ids import EndpointId, JobId
 from .submission import TaskSpec
 
-__all__ = ["JobProgress", "are_alike"]
+__all__ = ["JobProgress", "RunTimeClass", "run_time_class"]
+
+RunTimeClass = tuple[str, float | None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,14 +66,15 @@
         float or None
             The run time in seconds at speed 1, None if nothing is known.
         """
+        alike = run_time_class(spec)
         run_times_s = [
             running.run_s
             for running in self._running.get(job, {}).values()
-            if running.endpoint != other_than and are_alike(running.spec, spec)
+            if running.endpoint != other_than and run_time_class(running.spec) == alike
         ]
         return statistics.median(run_times_s) if run_times_s else None
 
 
-def are_alike(first: TaskSpec, second: TaskSpec) -> bool:
-    """Return whether two tasks of a job are expected to run equally long."""
-    return (first.kind, first.run_time_s) == (second.kind, second.run_time_s)
+def run_time_class(spec: TaskSpec) -> RunTimeClass:
+    """Return what tasks of a job that are expected to run equally long share."""
+    return spec.kind, spec.run_time_s
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -12,7 +12,7 @@
 import dataclasses
 import heapq
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from .answers import Refusal
 from .backlog import Backlog
@@ -22,7 +22,7 @@
 from .endpoint_load import EndpointLoad
 from .endpoint_protocol import Announcement, AttemptRef
 from .ids import EndpointId, JobId
-from .job_progress import JobProgress, are_alike
+from .job_progress import JobProgress, RunTimeClass, run_time_class
 from .policies import (
     Admission,
     Ejection,
@@ -411,27 +411,40 @@
             usual_s = task.estimate_s
         return RestartEstimate(run_s / fastest, usual_s / fastest)
 
-    def record_progress(self, ref: AttemptRef, progress: AttemptProgress) -> None:
-        """Estimate the waiting tasks of a job by the progress of its running ones.
+    def record_progress(self, reports: Mapping[AttemptRef, AttemptProgress]) -> None:
+        """Estimate the waiting tasks of jobs by the progress of their running ones.
 
         Of the tasks that a job declares to be alike, those that wait are expected to
         run as long as those that run.
         """
-        endpoint, task = self._placed.get(ref, (None, None))
-        if task is None or endpoint is None or endpoint not in self._endpoints:
-            return
-        run_s = self._observed_run_time(endpoint, progress).run_s
-        self._progress.record(ref, endpoint, task.spec, run_s)
-        estimate_s = self._progress.run_time_s(ref.job, task.spec)
-        waiting = [
-            other
-            for other in self._waiting.get(ref.job, {}).values()
-            if not other.moved and are_alike(other.spec, task.spec)
-        ]
-        if waiting and estimate_s is not None:
-            self._capacity_changed()
-            for other in waiting:
-                self._change_estimate(other, estimate_s)
+        jobs = set()
+        for ref, progress in reports.items():
+            endpoint, task = self._placed.get(ref, (None, None))
+            if task is None or endpoint is None or endpoint not in self._endpoints:
+                continue
+            run_s = self._observed_run_time(endpoint, progress).run_s
+            self._progress.record(ref, endpoint, task.spec, run_s)
+            if ref.job in self._waiting:
+                jobs.add(ref.job)
+        for job in jobs:
+            self._estimate_waiting(job)
+
+    def _estimate_waiting(self, job: JobId) -> None:
+        """Estimate the waiting tasks of a job by its running ones, the moved excepted.
+
+        The run time that is estimated for a moved task is its own.
+        """
+        run_times_s: dict[RunTimeClass, float | None] = {}
+        for task in self._waiting[job].values():
+            if task.moved:
+                continue
+            alike = run_time_class(task.spec)
+            if alike not in run_times_s:
+                run_times_s[alike] = self._progress.run_time_s(job, task.spec)
+            estimate_s = run_times_s[alike]
+            if estimate_s is not None:
+                self._capacity_changed()
+                self._change_estimate(task, estimate_s)
 
     def _change_estimate(self, task: WaitingTask, estimate_s: float) -> None:
         """Replace the estimated run time of a waiting task."""
--- a/tests/interactive_load.py
+++ b/tests/interactive_load.py
@@ -217,7 +217,7 @@
         progress = dataclasses.replace(
             progress, min_left_s=run_s * (99 - percent) / (percent + 1)
         )
-        self._scheduler.record_progress(ref, progress)
+        self._scheduler.record_progress({ref: progress})
         estimate = self._scheduler.estimate_restart(ref, progress)
         left_s = attempt.job.deadline_s - self._now_s
         decision = decide_attempt(ref.attempt, progress, estimate, left_s)
