--- a/tests/cooperative/test_worker_link.py
+++ b/tests/cooperative/test_worker_link.py
@@ -2,6 +2,7 @@
 
 import math
 from contextlib import asynccontextmanager
+from functools import partial
 
 import pytest
 import trio
@@ -12,6 +13,7 @@
 from currantwell.ids import EndpointId, Epoch, Incarnation, JobId
 from currantwell.progress import AttemptDecision, RestartEstimate, decide_attempt
 from tests.cooperative.worker import Worker, serving
+from tests.step_counter import StepCounter
 
 LEASE_S = 0.6
 PATIENCE_S = 5.0
@@ -93,6 +95,30 @@
     assert not handler.refused
 
 
+async def test_a_start_resumes_no_task_but_its_own():
+    worker, counter = Worker(), StepCounter()
+    async with linked(worker) as (link, handler):
+        await until(lambda: handler.reachable)
+        trio.lowlevel.add_instrument(counter)
+        for number in range(10):
+            started = (f"j.0.0.{number}", 1)
+            link.send([a_start(started[0])])
+            await until(partial(worker.started.__contains__, started))
+        trio.lowlevel.remove_instrument(counter)
+    assert counter.steps_of("WorkerLink.run") == 0
+    assert counter.steps_of("WorkerLink._start") >= 10
+
+
+async def test_a_closed_link_sends_no_start():
+    worker = Worker()
+    async with linked(worker) as (link, handler):
+        await until(lambda: handler.reachable)
+        link.close()
+        link.send([a_start()])
+        await trio.sleep(0.1)
+    assert not worker.started
+
+
 async def test_the_lease_is_renewed_during_a_long_task():
     worker = Worker()
     worker.task_s = 3 * LEASE_S
