Publish answers in the dispatch loop that commits them

The dispatch loop publishes the answers of the jobs whose ends it has just committed. An answer is still published only after its commit, and not at all if the commit fails.

test_an_answer_starts_no_task_of_its_own failed before (11 tasks of the dispatcher for 10 jobs, now at most 2).

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -610,13 +610,10 @@
         code = ResultCode.COMPLETE
         if job.cannot_complete:
             code = job.cancel_code or ResultCode.JOB_FAILED
-        committed = self._enqueue([JobClosed(job.id, code)])
-        assert self._nursery is not None
-        self._nursery.start_soon(self._publish_answer, job.id, committed)
+        self._enqueue([JobClosed(job.id, code)])
 
-    async def _publish_answer(self, job: JobId, committed: trio.Event) -> None:
-        """Wake the callers that wait for an answer, once its record is committed."""
-        await committed.wait()
+    def _publish_answer(self, job: JobId) -> None:
+        """Wake the callers that wait for an answer whose record is committed."""
         accepted_unix_s = self.table.jobs[job].accepted_unix_s
         self._metrics.observe(
             Timing.JOB_RESPONSE, self._calendar.unix_s() - accepted_unix_s
@@ -759,6 +756,9 @@
                 await self._job_log.commit(records)
             for entry in entries:
                 entry.committed.set()
+            for record in records:
+                if isinstance(record, JobClosed):
+                    self._publish_answer(record.job)
             self._send_starts(placed)
 
     def _start_record(self, placed: PlacedTask) -> AttemptStarted:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -34,6 +34,7 @@
     ended,
     started,
 )
+from tests.step_counter import StepCounter
 
 FAR_UNIX_S = 1e12
 E1 = an_announcement()
@@ -145,6 +146,24 @@
     assert bench.link.starts == []
 
 
+async def test_an_answer_starts_no_task_of_its_own(nursery, clock):
+    bench, counter = Bench(), StepCounter()
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    trio.lowlevel.add_instrument(counter)
+    for number in range(10):
+        job = a_submission(str(number))
+        await bench.dispatcher.submit(job)
+        await settle()
+        ref = AttemptRef(a_job_id(job), 0, 1)
+        await bench.link.results(ResultLine(number + 1, ref, ResultCode.COMPLETE))
+        reply = await bench.dispatcher.wait(a_job_id(job), 1.0)
+        assert reply.code is ResultCode.COMPLETE
+    trio.lowlevel.remove_instrument(counter)
+    dispatcher_tasks = [task for task in counter.steps if "Dispatcher." in task.name]
+    assert len(dispatcher_tasks) <= 2
+
+
 async def test_cancelling_a_job_sends_one_message_to_an_endpoint(nursery, clock):
     bench, job = Bench(), a_submission(tasks=850)
     await nursery.start(bench.dispatcher.run)
