Repeat capacity reports that keep changing before they expire

With 223 hosts and more it is longer than the time for which receivers use a report, so that a dispatcher whose capacity keeps changing would drop out at the hosts of other data centres, while one at rest is repeated every 0.3 s.

It is now at most the interval of repeats, from 67 hosts on. The test failed before with 300 and 700 hosts.

--- a/currantwell/fleet/capacity_updates.py
+++ b/currantwell/fleet/capacity_updates.py
@@ -32,8 +32,15 @@
 
 
 def min_update_interval_s(hosts: int) -> float:
-    """Return the shortest interval between reports to this number of hosts."""
-    return max(MIN_INTERVAL_S, MIN_INTERVAL_PER_HOST_S * hosts)
+    """Return the shortest interval between reports to this number of hosts.
+
+    It is no longer than `max_update_interval_s`, so that a report that keeps changing
+    does not expire.
+    """
+    return min(
+        max(MIN_INTERVAL_S, MIN_INTERVAL_PER_HOST_S * hosts),
+        max_update_interval_s(hosts),
+    )
 
 
 def max_update_interval_s(hosts: int) -> float:
--- a/tests/fleet/test_capacity_updates.py
+++ b/tests/fleet/test_capacity_updates.py
@@ -7,6 +7,7 @@
 from currantwell.fleet.capacity_updates import (
     CapacityUpdateFilter,
     max_update_interval_s,
+    min_update_interval_s,
 )
 from currantwell.fleet.groups import EndpointGroup
 from currantwell.fleet.messages import CapacityReport
@@ -69,3 +70,8 @@
         <= max_update_interval_s(700)
         < 0.5
     )
+
+
+@pytest.mark.parametrize("hosts", [1, 34, 300, 700])
+def test_a_report_that_keeps_changing_does_not_expire(hosts):
+    assert min_update_interval_s(hosts) <= max_update_interval_s(hosts)
