Register lost endpoints again after 0.3 s each time, as before

Suspected: an endpoint that is cut from its dispatcher and from the control hosts at the same time has no heartbeat that ends the delay, and comes back up to 2.4 s later.

--- a/currantwell/fleet/local_dispatch.py
+++ b/currantwell/fleet/local_dispatch.py
@@ -24,8 +24,8 @@
 
 # As often as a dispatcher itself checks for lost endpoints.
 REGISTER_INTERVAL_S = 0.1
-# An endpoint that was lost is registered again after this delay, since its connection
-# alone may have failed. The delay doubles until the endpoint's next heartbeat.
+# An endpoint that was lost is registered again after this delay. If it is still
+# unresponsive, that costs one request.
 REGISTER_RETRY_S = 0.3
 # Five heartbeats of 1.5 s. By then no control host has received a heartbeat of the
 # endpoint, and it does not answer its dispatcher either.
@@ -38,27 +38,12 @@
 class _Registration:
     """The last registration of an endpoint with the dispatcher.
 
-    ``number`` counts the registrations of the endpoint, ``retries`` those since its
-    last heartbeat.
+    ``number`` counts the registrations of the endpoint.
     """
 
     born_unix_ms: int
     number: int
     registered_s: float
-    retries: int = 0
-
-    def may_retry(self, now_s: float, last_heartbeat_s: float) -> bool:
-        """Return whether to register the endpoint again if it was lost."""
-        retries = self._retries_since(last_heartbeat_s)
-        return now_s - self.registered_s >= REGISTER_RETRY_S * 2.0**retries
-
-    def retry(self, now_s: float, last_heartbeat_s: float) -> "_Registration":
-        """Return the next registration of the same process."""
-        retries = self._retries_since(last_heartbeat_s) + 1
-        return _Registration(self.born_unix_ms, self.number + 1, now_s, retries)
-
-    def _retries_since(self, last_heartbeat_s: float) -> int:
-        return 0 if last_heartbeat_s > self.registered_s else self.retries
 
 
 class LocalDispatch:
@@ -204,8 +189,7 @@
         """Register an endpoint or its changed announcement with the dispatcher.
 
         An endpoint that the dispatcher marked as lost is registered under a new
-        incarnation, with a growing delay until its next heartbeat; one without a recent
-        heartbeat is removed instead.
+        incarnation; one without a recent heartbeat is removed instead.
         """
         record = self._view.endpoints[endpoint]
         report = record.report
@@ -224,10 +208,12 @@
         elif now - record.last_heartbeat_s > FORGET_AFTER_S:
             self._view.remove_endpoint(endpoint)
             return
-        elif not registration.may_retry(now, record.last_heartbeat_s):
+        elif now - registration.registered_s < REGISTER_RETRY_S:
             return
         else:
-            registration = registration.retry(now, record.last_heartbeat_s)
+            registration = _Registration(
+                report.born_unix_ms, registration.number + 1, now
+            )
         self._registrations[endpoint] = registration
         await self._dispatcher.announce(
             msgspec.structs.replace(
