Ask to be a member only while the disk takes writes, also the first time

What callers saw: nothing yet; found by review. A host whose disk filled up between its start and its first membership asked to join, was added as joining and could not catch up, and as long as one is joining no unresponsive voter is replaced.

Cause: only the loop that joins again asked whether the disk takes writes. No test failed when that was taken out either.

--- a/currantwell/raft_bootstrap.py
+++ b/currantwell/raft_bootstrap.py
@@ -76,16 +76,20 @@
         Without ``target_voters`` no member is replaced; return once this one is in.
         """
         while self._core.member not in self._core.membership.members:
-            replies = await self._query_hosts(self._initial_hosts)
-            cluster_replies = [reply for reply in replies if reply.cluster is not None]
-            if cluster_replies:
-                await self._join(cluster_replies, self._may_vote(cluster_replies))
-            elif self._may_form_cluster(replies):
-                self._form_cluster(replies)
+            if self._can_store():
+                await self._form_or_join()
             await trio.sleep(RETRY_INTERVAL_S)
         if self._target_voters:
             await self._rejoin_loop()
 
+    async def _form_or_join(self) -> None:
+        replies = await self._query_hosts(self._initial_hosts)
+        cluster_replies = [reply for reply in replies if reply.cluster is not None]
+        if cluster_replies:
+            await self._join(cluster_replies, self._may_vote(cluster_replies))
+        elif self._may_form_cluster(replies):
+            self._form_cluster(replies)
+
     async def _rejoin_loop(self) -> None:
         leader_seen_s = now_s()
         while True:
