Ask a backup again that is left out as its primary begins

Log of m1: view 2 without a backup, then backup_added a1.

Cause: passes over each member that a view no longer has. A primary begins its first term in a view of its own without the backup of the first view, which responds.

Change: only a removed primary is passed over, and a backup that the primary itself drops as lost.

test_a_backup_that_responds_is_asked_again_once_its_primary_has_begun_alone failed before; test_a_backup_that_was_dropped_is_not_asked_first fails without the second part.

--- a/currantwell/backup_manager.py
+++ b/currantwell/backup_manager.py
@@ -148,6 +148,7 @@
             backup = term.view.backup
             if backup is not None and self._is_lost(term, backup):
                 events.BACKUP_DROPPED.log(backup=backup)
+                self.mark_unresponsive(backup)
                 alone = self._proposer.next_view_alone(term.view)
                 await self._proposer.vouch_and_propose(term.store, alone)
                 continue
--- a/currantwell/roles.py
+++ b/currantwell/roles.py
@@ -160,8 +160,9 @@
         earlier: View | None = None
         while True:
             view = self._views.view(data_centre)
-            for host in _members(earlier) - _members(view):
-                self._backup_manager.mark_unresponsive(host)
+            if earlier is not None and earlier.primary not in _members(view):
+                # A backup may be missing though it responds: terms begin without one.
+                self._backup_manager.mark_unresponsive(earlier.primary)
             earlier = view
             if view is None:
                 await self._propose_first_view(data_centre)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -75,7 +75,7 @@
 class Host:
     """The roles of a host, and the copies of another one that answers it."""
 
-    def __init__(self, *views, other_at=HERE, **peers):
+    def __init__(self, *views, lost_at=HERE, other_at=HERE, **peers):
         self.views = Views(*views)
         self.stores = CopyStores(lambda name: MemoryJournal())
         other_stores = CopyStores(lambda name: MemoryJournal())
@@ -83,7 +83,7 @@
         self.peers = Peers(answering.handle_message, **peers)
         self.roles = Roles(
             OWN,
-            {LOST: HERE, OTHER: other_at, OWN: HERE},
+            {LOST: lost_at, OTHER: other_at, OWN: HERE},
             self.views,
             self.stores,
             JobBackup(self.stores, self.views),
@@ -147,6 +147,30 @@
     assert LOST not in host.peers.asked
 
 
+async def test_a_backup_that_responds_is_asked_again_once_its_primary_has_begun_alone(
+    nursery, autojump_clock
+):
+    """Else a host of another data centre would become the backup."""
+    host = Host(View(HERE, Epoch(1), OWN, OTHER), lost_at=FAR)
+    nursery.start_soon(host.roles.run, trio.TASK_STATUS_IGNORED)
+    while host.number() == 1:
+        await trio.sleep(0.01)
+    await host.seconds_until_two_copies()
+    assert LOST not in host.peers.asked
+
+
+async def test_a_backup_that_was_dropped_is_not_asked_first(nursery, autojump_clock):
+    view = View(HERE, Epoch(2), OWN, LOST)
+    host = Host(view)
+    await host.join(view)
+    nursery.start_soon(host.roles.run, trio.TASK_STATUS_IGNORED)
+    while host.views.view(HERE).backup is not None:
+        await trio.sleep(0.01)
+    asked_before = len(host.peers.asked)
+    await host.seconds_until_two_copies()
+    assert LOST not in host.peers.asked[asked_before:]
+
+
 @PLACES
 async def test_a_lost_first_reply_after_a_split_vote_delays_no_job_too_long(
     other_at, nursery, autojump_clock
