--- a/currantwell/journal.py
+++ b/currantwell/journal.py
@@ -27,7 +27,7 @@
 
 MAX_RECORD_BYTES = 64 * 1024 * 1024
 RECORDS_PER_FRAME = 1_000
-_DISK_FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
+_DISK_FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
 
 
 class Journal(Protocol):
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -54,13 +54,14 @@
 class FillableDisk(SystemDisk):
     """Refuses each write of more than `room_bytes`, after so many bytes of it."""
 
-    def __init__(self, room_bytes=None):
+    def __init__(self, room_bytes=None, error_number=errno.ENOSPC):
         self.room_bytes = room_bytes
+        self._error_number = error_number
 
     def write(self, fd, data):
         if self.room_bytes is not None and len(data) > self.room_bytes:
             super().write(fd, data[: self.room_bytes])
-            raise OSError(errno.ENOSPC, "injected failure")
+            raise OSError(self._error_number, "injected failure")
         return super().write(fd, data)
 
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -264,10 +264,11 @@
 
 
 @pytest.mark.parametrize("room_bytes", [0, 3])
+@pytest.mark.parametrize("error_number", [errno.ENOSPC, errno.EDQUOT, errno.EFBIG])
 async def test_a_file_that_finds_no_room_is_created_by_the_first_append(
-    path, room_bytes
+    path, room_bytes, error_number
 ):
-    disk = FillableDisk(room_bytes)
+    disk = FillableDisk(room_bytes, error_number)
     journal = DiskJournal(path, disk)
     assert list(journal.read()) == []
     with pytest.raises(DiskUnavailable):
