Fetch configurations as changes, in parts, from one control host

Cause: each control host sent each version whole, decoded routes and the operator's document, to each other process. With 4,245 routes that is 1.3 MB, eight times, twice within 0.6 s, over links of 9.5 Mbit/s, on the channels that carry ownerships and reports and beside all job messages. The class: state is sent whole, at each change, by each holder to each process, and nothing bounds the bytes.

Change: a control host announces its version. An entry host that holds an older one asks one control host, a near one first, for the changes since its own, and for one part of 16 KiB after the other, so that other messages pass in between. A host that does not answer within 0.4 s is replaced by another; the timeout doubles. A control host keeps the latest four versions and sends all routes to hosts that are further behind. The operator's document stays at the control hosts.

Why it works: what an entry host receives depends on the change, neither on the number of routes nor on that of the control hosts.

Other ways weighed: sending compressed versions from the leader alone (a leader that is cut off hides them, and a slow link still queues 91 KB for each change); a push of changes with acknowledgements (each control host has to keep a state for each entry host). Failed try: none.

--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -252,11 +252,22 @@
     "A configuration was committed; result tells whether it took effect.",
 )
 CONFIGURATION_APPLIED = _event(
-    611, "configuration_applied", Level.INFO, "This host uses a newer configuration."
+    611,
+    "configuration_applied",
+    Level.INFO,
+    "This host uses a newer configuration; base is the version that the received "
+    "changes apply to, 0 if all routes were received.",
 )
 CONFIGURATION_REFUSED = _event(
     612, "configuration_refused", Level.WARNING, "An invalid configuration was refused."
 )
+CONFIGURATION_TRANSFER_FAILED = _event(
+    630,
+    "configuration_transfer_failed",
+    Level.WARNING,
+    "A control host did not send a newer configuration, or one that can't be used; "
+    "another one is asked.",
+)
 OWNER_CHANGED = _event(
     613,
     "owner_changed",
--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -17,10 +17,11 @@
 from ..ids import EndpointId, HostId
 from ..kernel import ServiceName
 from .channel import Channel, accept_channel, encode, open_channel
+from .configuration_transfer import ConfigurationHistory
 from .endpoint_registry import EndpointRegistry, HintStore
 from .fleet_state import FleetState, PutConfiguration, SetOwner, encode_command
 from .messages import (
-    ConfigurationUpdate,
+    ConfigurationRequest,
     ControlHostsUpdate,
     EndpointHeartbeats,
     EndpointReport,
@@ -90,6 +91,7 @@
         self._agreement = agreement
         self._rule = rule
         self._registry = EndpointRegistry(hint, now_s())
+        self._history = ConfigurationHistory()
         self._channels: dict[Channel, HostHello | None] = {}
         self._liveness: dict[HostId, HostLiveness] = {}
         self._control_addresses = {
@@ -103,6 +105,7 @@
         self._hosts_changed = False
         self._pending_reports: dict[EndpointId, EndpointReport] = {}
         state.on_change = self._note_state_change
+        self._note_state_change()
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Serve channels until cancelled."""
@@ -192,7 +195,10 @@
             self._send_all(channel)
             try:
                 async for message in channel.messages():
-                    self._process(channel, message)
+                    if isinstance(message, ConfigurationRequest):
+                        channel.send(self._history.part(message))
+                    else:
+                        self._process(channel, message)
             finally:
                 hello = self._channels.pop(channel)
                 if hello is not None:
@@ -280,7 +286,7 @@
 
     def _send_all(self, channel: Channel) -> None:
         channel.send(self._control_hosts())
-        channel.send(ConfigurationUpdate(self._state.configuration))
+        channel.send(self._history.announcement(self._hello.data_centre))
         channel.send(self._entry_hosts())
         channel.send(EndpointReports(tuple(self._registry.reports)))
         channel.send(OwnershipsUpdate(tuple(self._state.ownerships)))
@@ -299,17 +305,18 @@
         )
 
     def _note_state_change(self) -> None:
+        self._history.record(self._state.configuration)
         self._state_changed.set()
 
     async def _send_state_loop(self) -> None:
-        """Broadcast the configuration and the ownerships when they change."""
+        """Broadcast the version in force and the ownerships when they change."""
         version = self._state.configuration.version
         while True:
             await self._state_changed.wait()
             self._state_changed = trio.Event()
             if self._state.configuration.version != version:
                 version = self._state.configuration.version
-                self._broadcast(ConfigurationUpdate(self._state.configuration))
+                self._broadcast(self._history.announcement(self._hello.data_centre))
             self._broadcast(OwnershipsUpdate(tuple(self._state.ownerships)))
 
     async def _send_updates_loop(self) -> None:
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -5,6 +5,7 @@
 whichever control host sent it.
 """
 
+import math
 from collections.abc import Callable, Iterable, Sequence
 
 import trio
@@ -14,10 +15,12 @@
 from ..ids import EndpointId, HostId
 from ..kernel import ServiceName
 from .channel import PING_INTERVAL_S, Channel, open_channel
+from .configuration_transfer import ConfigurationFetch
 from .fleet_state import Ownership
 from .groups import EndpointGroup
 from .messages import (
-    ConfigurationUpdate,
+    ConfigurationAnnouncement,
+    ConfigurationPart,
     ControlHostsUpdate,
     EndpointHeartbeats,
     EndpointReport,
@@ -28,7 +31,7 @@
     Message,
     OwnershipsUpdate,
 )
-from .routes import NO_CONFIGURATION, Configuration, Route, RouteTable
+from .routes import Configuration, Route, RouteTable
 
 __all__ = ["EndpointRecord", "FleetView"]
 
@@ -64,8 +67,6 @@
 
     Attributes
     ----------
-    configuration : Configuration
-        The highest version received from any control host.
     on_change : callable
         Called after each change of ownerships, hosts or endpoints.
     endpoints : dict
@@ -75,10 +76,11 @@
     name = ServiceName("fleet-view")
 
     def __init__(self, hello: HostHello, seeds: Sequence[str]) -> None:
-        self.configuration: Configuration = NO_CONFIGURATION
         self.on_change: Callable[[], None] = lambda: None
         self.endpoints: dict[EndpointId, EndpointRecord] = {}
         self._hello = hello
+        self._fetch: ConfigurationFetch[Channel] = ConfigurationFetch(hello.data_centre)
+        self._fetch_changed = trio.Event()
         self._routes = RouteTable()
         self._ownerships: dict[EndpointGroup, Ownership] = {}
         self._hosts: dict[Channel, dict[HostId, HostHello]] = {}
@@ -86,6 +88,11 @@
         self._control_addresses = set(seeds)
         self._addresses_changed = trio.Event()
 
+    @property
+    def configuration(self) -> Configuration:
+        """The highest version received from any control host."""
+        return self._fetch.configuration
+
     @property
     def connected(self) -> bool:
         """Whether this host is connected to any control host."""
@@ -143,6 +150,7 @@
         """Keep a channel to each control host until cancelled."""
         connecting: set[str] = set()
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._fetch_loop)
             task_status.started()
             while True:
                 for address in self._control_addresses - connecting:
@@ -174,11 +182,16 @@
                     self._process(channel, message)
             finally:
                 del self._hosts[channel]
+                self._fetch.remove_peer(channel)
+                self._fetch_changed.set()
 
     def _process(self, channel: Channel, message: Message) -> None:
         match message:
-            case ConfigurationUpdate(configuration):
-                self._apply_configuration(configuration)
+            case ConfigurationAnnouncement():
+                self._fetch.add_announcement(channel, message)
+                self._fetch_changed.set()
+            case ConfigurationPart():
+                self._receive_part(channel, message)
             case ControlHostsUpdate(addresses):
                 self.add_control_addresses(addresses)
             case EndpointHeartbeats(endpoints):
@@ -218,11 +231,32 @@
         if record is None or report.sort_key() > record.report.sort_key():
             self.endpoints[endpoint] = EndpointRecord(report, now_s())
 
-    def _apply_configuration(self, configuration: Configuration) -> None:
-        if configuration.version <= self.configuration.version:
+    async def _fetch_loop(self) -> None:
+        """Begin to fetch the configuration whenever a newer version is announced."""
+        while True:
+            request = self._fetch.next_request(now_s())
+            if request is not None:
+                channel, message = request
+                channel.send(message)
+            due_s = self._fetch.due_s(now_s())
+            with trio.move_on_at(math.inf if due_s is None else due_s):
+                await self._fetch_changed.wait()
+            self._fetch_changed = trio.Event()
+
+    def _receive_part(self, channel: Channel, part: ConfigurationPart) -> None:
+        """Add a part, and request the next one or use the complete configuration."""
+        held = self.configuration
+        request = self._fetch.receive(channel, part, now_s())
+        if request is not None:
+            channel.send(request)
+            return
+        self._fetch_changed.set()
+        if self.configuration is held:
             return
-        self.configuration = configuration
-        self._routes = RouteTable(configuration.routes)
+        self._routes = RouteTable(self.configuration.routes)
         events.CONFIGURATION_APPLIED.log(
-            version=configuration.version, routes=len(configuration.routes)
+            version=self.configuration.version,
+            routes=len(self.configuration.routes),
+            base=part.base,
+            transfer_bytes=part.total,
         )
--- a/currantwell/fleet/messages.py
+++ b/currantwell/fleet/messages.py
@@ -8,12 +8,14 @@
 from ..submission import Submission
 from .fleet_state import Ownership
 from .groups import EndpointGroup
-from .routes import Configuration, ServiceId
+from .routes import ServiceId
 
 __all__ = [
     "CancelJob",
     "CapacityReport",
-    "ConfigurationUpdate",
+    "ConfigurationAnnouncement",
+    "ConfigurationPart",
+    "ConfigurationRequest",
     "ControlHostsUpdate",
     "EndpointHeartbeats",
     "EndpointReport",
@@ -112,10 +114,63 @@
     addresses: tuple[str, ...]
 
 
-class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="configuration"):
-    """The configuration in force at the sending control host."""
+class ConfigurationAnnouncement(msgspec.Struct, frozen=True, tag="version"):
+    """The version of the configuration in force at the sending control host.
 
-    configuration: Configuration
+    Parameters
+    ----------
+    version : int
+        The version, 0 if there is none.
+    data_centre : str
+        Data centre of the control host.
+    """
+
+    version: int
+    data_centre: str
+
+
+class ConfigurationRequest(msgspec.Struct, frozen=True, tag="fetch"):
+    """Requests a part of the changes since the version that the sender holds.
+
+    Parameters
+    ----------
+    held : int
+        Version that the sender holds, 0 if none.
+    base, version : int
+        The transfer to continue, as named by its first part; 0 to begin one to the
+        newest version.
+    offset : int
+        Number of bytes of the transfer that have arrived.
+    """
+
+    held: int
+    base: int = 0
+    version: int = 0
+    offset: int = 0
+
+
+class ConfigurationPart(msgspec.Struct, frozen=True, tag="part"):
+    """The reply to `ConfigurationRequest`: a part of encoded changes.
+
+    Parameters
+    ----------
+    base : int
+        Version to which the changes apply, 0 for the whole configuration.
+    version : int
+        Version that results from them.
+    offset : int
+        Position of the part in the transfer, in bytes.
+    total : int
+        Length of the whole transfer, in bytes.
+    data : bytes
+        The part.
+    """
+
+    base: int
+    version: int
+    offset: int
+    total: int
+    data: bytes
 
 
 class OwnershipsUpdate(msgspec.Struct, frozen=True, tag="ownerships"):
@@ -222,7 +277,9 @@
     | HostHello
     | EntryHostsUpdate
     | ControlHostsUpdate
-    | ConfigurationUpdate
+    | ConfigurationAnnouncement
+    | ConfigurationPart
+    | ConfigurationRequest
     | OwnershipsUpdate
     | EndpointReports
     | EndpointsLeft
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -3,7 +3,7 @@
 from currantwell.endpoint_protocol import Announcement
 from currantwell.fleet.fleet_state import Ownership
 from currantwell.fleet.groups import EndpointGroup
-from currantwell.fleet.messages import EndpointReport, HostHello
+from currantwell.fleet.messages import ConfigurationPart, EndpointReport, HostHello
 from currantwell.fleet.ownership import HostLiveness
 from currantwell.fleet.routes import Configuration, Route, Service, ServiceId
 from currantwell.ids import (
@@ -38,6 +38,24 @@
     )
 
 
+def many_routes(count, first=0, **changes):
+    """Return routes that are as long as those of a large deployment."""
+    return tuple(
+        a_route(
+            team=Team(f"team{number % 300:04d}"),
+            host=f"host{number % 7}.example",
+            path_prefix=f"/{number * 7919 % 1_000_003:07x}/",
+            **changes,
+        )
+        for number in range(first, first + count)
+    )
+
+
+def a_part(number):
+    """Return a message of 200 bytes that differs from others by its number."""
+    return ConfigurationPart(0, number, 0, 160, bytes(160))
+
+
 def a_report(endpoint="e1", sequence=1, born_unix_ms=1_000, **changes):
     fields = {"slots": 8, "processors": 16.0, "pool": BOARD}
     announcement = Announcement(
--- a/tests/fleet/test_channel.py
+++ b/tests/fleet/test_channel.py
@@ -18,8 +18,8 @@
     encode,
     open_channel,
 )
-from currantwell.fleet.messages import CancelJob, ConfigurationUpdate, Ping
-from tests.fleet.builders import a_configuration
+from currantwell.fleet.messages import CancelJob, Ping
+from tests.fleet.builders import a_part
 from tests.step_counter import StepCounter
 
 
@@ -34,7 +34,7 @@
     nursery.start_soon(near.run)
     nursery.start_soon(far.run)
     nursery.start_soon(receive, far, received)
-    sent = [ConfigurationUpdate(a_configuration(1)), CancelJob(1), CancelJob(2)]
+    sent = [a_part(1), CancelJob(1), CancelJob(2)]
     for message in sent:
         near.send(message)
     await trio.testing.wait_all_tasks_blocked(0.01)
@@ -155,7 +155,7 @@
 
 async def test_messages_past_a_full_buffer_arrive_in_order(nursery):
     near, far = await connected(nursery)
-    sent = [ConfigurationUpdate(a_configuration(number)) for number in range(20_000)]
+    sent = [a_part(number) for number in range(20_000)]
     for message in sent:
         near.send(message)
     received = []
@@ -181,7 +181,7 @@
 
 async def test_a_message_does_not_land_inside_a_frame_that_is_half_sent(nursery):
     channel, peer = await connected_to_socket(nursery)
-    sent = [ConfigurationUpdate(a_configuration(number)) for number in range(20_000)]
+    sent = [a_part(number) for number in range(20_000)]
     for message in sent:
         channel.send(message)
     await trio.testing.wait_all_tasks_blocked()
@@ -217,7 +217,7 @@
     await trio.testing.wait_all_tasks_blocked()
     # More than the kernel's buffers hold, less than the channel queues.
     for number in range(20_000):
-        channel.send(ConfigurationUpdate(a_configuration(number)))
+        channel.send(a_part(number))
     assert not channel.closed
     with trio.move_on_after(5 * SILENCE_TIMEOUT_S):
         while not channel.closed:
