Look up routes by the lengths of prefixes, not one by one

What callers saw: nothing by itself; each request to a host name with thousands of routes cost its entry host a scan of them.

Cause: RouteTable compared a path with every prefix of its host, the longest first.

--- a/currantwell/fleet/routes.py
+++ b/currantwell/fleet/routes.py
@@ -131,15 +131,24 @@
     """
 
     def __init__(self, routes: Iterable[Route] = ()) -> None:
-        self._hosts: dict[str, list[Route]] = {}
+        self._hosts: dict[str, dict[str, Route]] = {}
         for route in routes:
-            self._hosts.setdefault(route.host, []).append(route)
-        for host_routes in self._hosts.values():
-            host_routes.sort(key=lambda route: -len(route.path_prefix))
+            self._hosts.setdefault(route.host, {})[route.path_prefix] = route
+        self._lengths = {
+            host: sorted({len(prefix) for prefix in prefixes}, reverse=True)
+            for host, prefixes in self._hosts.items()
+        }
 
     def find(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix that matches the path."""
-        for route in self._hosts.get(host, ()):
-            if path.startswith(route.path_prefix):
+        """Return the route with the longest prefix that matches the path.
+
+        Takes one lookup for each length that the prefixes of the host have.
+        """
+        prefixes = self._hosts.get(host)
+        if prefixes is None:
+            return None
+        for length in self._lengths[host]:
+            route = prefixes.get(path[:length])
+            if route is not None:
                 return route
         return None
