Send changes of the connected hosts, and ownerships only when they change

Cause: each connect or disconnect of an entry host made each control host send the list of all entry hosts to every process, and each new configuration the ownerships again.

The complete list still begins each channel: what was last sent to all, so that the changes that follow apply to it.

--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -27,6 +27,7 @@
     EndpointReport,
     EndpointReports,
     EndpointsLeft,
+    EntryHostsChange,
     EntryHostsUpdate,
     HostHello,
     Message,
@@ -103,6 +104,7 @@
         self._state_changed = trio.Event()
         self._update_pending = trio.Event()
         self._hosts_changed = False
+        self._sent_hosts: dict[HostId, HostHello] = {}
         self._pending_reports: dict[EndpointId, EndpointReport] = {}
         state.on_change = self._note_state_change
         self._note_state_change()
@@ -287,17 +289,22 @@
     def _send_all(self, channel: Channel) -> None:
         channel.send(self._control_hosts())
         channel.send(self._history.announcement(self._hello.data_centre))
-        channel.send(self._entry_hosts())
+        channel.send(EntryHostsUpdate(tuple(self._sent_hosts.values())))
         channel.send(EndpointReports(tuple(self._registry.reports)))
         channel.send(OwnershipsUpdate(tuple(self._state.ownerships)))
 
-    def _entry_hosts(self) -> EntryHostsUpdate:
-        connected = {
+    def _broadcast_hosts(self) -> None:
+        """Send the entry hosts that connected or disconnected since the last time."""
+        hosts = {
             hello.host: hello
             for hello in self._channels.values()
             if hello is not None and hello.dispatches
         }
-        return EntryHostsUpdate(tuple(connected.values()))
+        sent, self._sent_hosts = self._sent_hosts, hosts
+        connected = [hello for host, hello in hosts.items() if sent.get(host) != hello]
+        disconnected = [host for host in sent if host not in hosts]
+        if connected or disconnected:
+            self._broadcast(EntryHostsChange(tuple(connected), tuple(disconnected)))
 
     def _control_hosts(self) -> ControlHostsUpdate:
         return ControlHostsUpdate(
@@ -311,13 +318,16 @@
     async def _send_state_loop(self) -> None:
         """Broadcast the version in force and the ownerships when they change."""
         version = self._state.configuration.version
+        ownerships = tuple(self._state.ownerships)
         while True:
             await self._state_changed.wait()
             self._state_changed = trio.Event()
             if self._state.configuration.version != version:
                 version = self._state.configuration.version
                 self._broadcast(self._history.announcement(self._hello.data_centre))
-            self._broadcast(OwnershipsUpdate(tuple(self._state.ownerships)))
+            if tuple(self._state.ownerships) != ownerships:
+                ownerships = tuple(self._state.ownerships)
+                self._broadcast(OwnershipsUpdate(ownerships))
 
     async def _send_updates_loop(self) -> None:
         """Broadcast changes of hosts and endpoints, in batches."""
@@ -327,7 +337,7 @@
             self._update_pending = trio.Event()
             if self._hosts_changed:
                 self._hosts_changed = False
-                self._broadcast(self._entry_hosts())
+                self._broadcast_hosts()
             if self._pending_reports:
                 reports = tuple(self._pending_reports.values())
                 self._pending_reports.clear()
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -26,6 +26,7 @@
     EndpointReport,
     EndpointReports,
     EndpointsLeft,
+    EntryHostsChange,
     EntryHostsUpdate,
     HostHello,
     Message,
@@ -199,6 +200,12 @@
             case EntryHostsUpdate(hosts):
                 self._hosts[channel] = {hello.host: hello for hello in hosts}
                 self.on_change()
+            case EntryHostsChange(connected, disconnected):
+                known = self._hosts[channel]
+                known.update((hello.host, hello) for hello in connected)
+                for host in disconnected:
+                    known.pop(host, None)
+                self.on_change()
             case OwnershipsUpdate(ownerships):
                 self._apply_ownerships(ownerships)
                 self.on_change()
--- a/currantwell/fleet/messages.py
+++ b/currantwell/fleet/messages.py
@@ -21,6 +21,7 @@
     "EndpointReport",
     "EndpointReports",
     "EndpointsLeft",
+    "EntryHostsChange",
     "EntryHostsUpdate",
     "HostHello",
     "JobEnded",
@@ -108,6 +109,21 @@
     hosts: tuple[HostHello, ...]
 
 
+class EntryHostsChange(msgspec.Struct, frozen=True, tag="hosts-change"):
+    """What has changed since the last message about entry hosts on the channel.
+
+    Parameters
+    ----------
+    connected : tuple of HostHello
+        Hosts that are connected now, or have sent a changed hello.
+    disconnected : tuple of HostId
+        Hosts that are no longer connected.
+    """
+
+    connected: tuple[HostHello, ...]
+    disconnected: tuple[HostId, ...]
+
+
 class ControlHostsUpdate(msgspec.Struct, frozen=True, tag="controls"):
     """The addresses at which the control hosts accept channels."""
 
@@ -275,6 +291,7 @@
 Message = (
     Ping
     | HostHello
+    | EntryHostsChange
     | EntryHostsUpdate
     | ControlHostsUpdate
     | ConfigurationAnnouncement
--- a/tests/fleet/test_control_service.py
+++ b/tests/fleet/test_control_service.py
@@ -5,16 +5,25 @@
 
 from currantwell.agreement import LocalAgreement
 from currantwell.fleet.channel import encode
-from currantwell.fleet.control_service import CLEANUP_INTERVAL_S, ControlService
+from currantwell.fleet.control_service import (
+    CLEANUP_INTERVAL_S,
+    UPDATE_DELAY_S,
+    ControlService,
+)
 from currantwell.fleet.endpoint_registry import (
     FORGET_AFTER_S,
     EndpointRegistry,
     MemoryHintStore,
 )
-from currantwell.fleet.fleet_state import FleetState
+from currantwell.fleet.fleet_state import (
+    FleetState,
+    PutConfiguration,
+    SetOwner,
+    encode_command,
+)
 from currantwell.fleet.messages import EndpointHeartbeats
 from currantwell.fleet.ownership import OwnershipRule
-from tests.fleet.builders import a_hello, a_report
+from tests.fleet.builders import a_configuration, a_hello, a_report, an_ownership
 
 
 class StallingHintStore(MemoryHintStore):
@@ -105,3 +114,47 @@
     assert list(EndpointRegistry(hint, 0.0).reports)
     await trio.sleep(FORGET_AFTER_S + 2 * CLEANUP_INTERVAL_S)
     assert not list(EndpointRegistry(hint, 0.0).reports)
+
+
+class EntryHost(RecordingChannel):
+    """The channel of an entry host that has said hello."""
+
+    def __init__(self, service, number):
+        super().__init__()
+        service._channels[self] = None
+        service._process_hello(self, a_hello(f"host-{number}", f"{number}"))
+
+
+def sent_bytes(channel):
+    return sum(len(body) for body in channel.sent)
+
+
+@pytest.mark.parametrize("disconnects", [False, True])
+async def test_one_host_more_or_less_is_sent_as_one(
+    nursery, autojump_clock, disconnects
+):
+    """Else each restart sends the list of all hosts from each control host to each."""
+    service, channel = a_service(MemoryHintStore())
+    nursery.start_soon(service._send_updates_loop)
+    hosts = [EntryHost(service, number) for number in range(200)]
+    await trio.sleep(2 * UPDATE_DELAY_S)
+    channel.sent.clear()
+    if disconnects:
+        service._note_disconnect(service._channels.pop(hosts[0]))
+    else:
+        EntryHost(service, 200)
+    await trio.sleep(2 * UPDATE_DELAY_S)
+    assert 0 < sent_bytes(channel) < 3 * len(encode(a_hello("host-200")))
+
+
+async def test_ownerships_are_sent_when_they_change_only(nursery, autojump_clock):
+    service, channel = a_service(MemoryHintStore())
+    nursery.start_soon(service._send_state_loop)
+    await trio.sleep(0.1)
+    service._state.apply(1, encode_command(SetOwner(an_ownership())))
+    await trio.sleep(0.1)
+    assert len(channel.sent) == 1
+    service._state.apply(2, encode_command(PutConfiguration(a_configuration(1))))
+    await trio.sleep(0.1)
+    assert len(channel.sent) == 2
+    assert sent_bytes(channel) < 300
