--- a/tests/fleet/test_configuration_delivery.py
+++ b/tests/fleet/test_configuration_delivery.py
@@ -94,7 +94,8 @@
     async def propose(self, command, timeout_s=1.0):
         await trio.lowlevel.checkpoint()
         self._applied += 1
-        return [state.apply(self._applied, command) for state in self._states][0]
+        results = [state.apply(self._applied, command) for state in self._states]
+        return results[0]
 
 
 class SlowFleet:
