Show that a host that is removed as soon as it has joined joins again

It isn't the member that joins again after 2 s without a leader: that loop runs with `target_voters` only, and the test has none. The first join loop still runs. It looks each 0.25 s whether the host is a member; a host that has become one and is removed between two looks never sees it, and asks to join for ever.

The new one shows it at any speed: removed 0.1 s after joining it fails, removed after 1 s it passes. No part of the product calls `remove` yet.

--- a/tests/test_raft_bootstrap.py
+++ b/tests/test_raft_bootstrap.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from currantwell.consensus import Consensus
 from currantwell.consensus_messages import (
@@ -71,3 +72,25 @@
         await trio.sleep(10.0)
         assert peers.join_requests
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("removed_after_s", [0.1, 1.0])
+async def test_a_removed_host_does_not_ask_to_be_a_member_again(
+    autojump_clock, removed_after_s
+):
+    """Without `target_voters` a removal is for good, however soon it comes."""
+    peers = Peers()
+    core = new_member()
+    bootstrap = ClusterBootstrap(HOSTS[0], HOSTS[:3], peers, core, lambda: None)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(bootstrap.run)
+        await trio.testing.wait_all_tasks_blocked()
+        assert peers.join_requests == 1
+        core.form_cluster(CLUSTER, Membership(tuple(MEMBERS[:3])))
+        await trio.sleep(removed_after_s)
+        assert core.membership.members == tuple(MEMBERS[:3])
+        core.log.append([Entry(2, 1, membership=OTHERS)])
+        assert MEMBERS[0] not in core.membership.members
+        await trio.sleep(10.0)
+        nursery.cancel_scope.cancel()
+    assert peers.join_requests == 1
