Log the size of a routed job and the time that it has

`job_routed` has the longest declared run time and the time to the deadline now. The test fails without the change.

--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -332,7 +332,13 @@
     Level.INFO,
     "This host no longer dispatches to a group of endpoints; ground gives the reason.",
 )
-JOB_ROUTED = _event(800, "job_routed", Level.INFO, "A job was routed to a dispatcher.")
+JOB_ROUTED = _event(
+    800,
+    "job_routed",
+    Level.INFO,
+    "A job was routed to a dispatcher; left_s is the time to its deadline, longest_s "
+    "the longest run time that a task declares.",
+)
 JOB_PART_ENDED = _event(
     808,
     "job_part_ended",
--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -179,6 +179,7 @@
     def log_routing(self, order: JobOrder, parts: Sequence[_Part]) -> None:
         """Log the parts of a job and the reported capacity of their dispatchers."""
         reports = self._links.capacity_reports()
+        longest_s = max((task.run_time_s or 0.0) for task in order.tasks)
         events.JOB_ROUTED.log(
             job=order.id,
             parts=[
@@ -191,6 +192,8 @@
                 for part in parts
             ],
             start_by_s=round(order.start_by_s - now_s(), 3),
+            left_s=round(order.deadline_s - now_s(), 3),
+            longest_s=round(longest_s, 3),
         )
 
     def submission(self, order: JobOrder, part: _Part) -> Submission:
--- a/tests/fleet/test_job_router.py
+++ b/tests/fleet/test_job_router.py
@@ -1,5 +1,8 @@
 """The router: split jobs, correct refusals, and parts that are sent again."""
 
+import json
+import logging
+
 import pytest
 import trio
 
@@ -193,3 +196,19 @@
     trio.lowlevel.remove_instrument(counter)
     # One step for the reply of the dispatcher.
     assert sum(counter.steps.values()) == 1
+
+
+async def test_a_routed_job_is_logged_with_its_size_and_the_time_it_has(
+    autojump_clock, caplog
+):
+    tasks = [TaskSpec("crew", run_time_s=run_s) for run_s in (0.2, 0.76, 0.3)]
+    now = trio.current_time()
+    order = JobOrder("5c0e", Team("crew"), tasks, now + 1.5, now + 0.6, now + 0.3)
+    with caplog.at_level(logging.INFO):
+        await JobRouter(HOME.data_centre, Links(valdres=4)).run(order)
+    (routed,) = [
+        line
+        for record in caplog.records
+        if (line := json.loads(record.getMessage()))["name"] == "job_routed"
+    ]
+    assert (routed["left_s"], routed["longest_s"]) == (1.5, 0.76)
