--- a/tests/fleet/test_endpoint_registry.py
+++ b/tests/fleet/test_endpoint_registry.py
@@ -52,6 +52,16 @@
     assert registry.remove_unresponsive(1.5 + FORGET_AFTER_S) == ("e1",)
 
 
+def test_an_endpoint_that_was_forgotten_comes_back_as_last_reported():
+    registry = a_registry()
+    registry.record_report(a_report(sequence=1), 1.0)
+    registry.record_report(a_report(sequence=2, draining=True), 1.0)
+    registry.remove_unresponsive(1.5 + FORGET_AFTER_S)
+    # From a control host that was cut off before the endpoint began to drain.
+    registry.record_report(a_report(sequence=1), 9.0)
+    assert list(registry.reports) == [a_report(sequence=2, draining=True)]
+
+
 @pytest.fixture(params=["memory", "file"])
 def hint(request, tmp_path):
     return (
