Bring back a removed endpoint as last reported

Callers saw starts on endpoints that had said they drain. Cause: a registry or a view that removed an endpoint, as unresponsive or as it left, kept nothing of it, and took the next report for the latest, though a control host that was cut off may send one from before. No later heartbeat corrected that: they change nothing for those that already know. Change: the last reports of removed endpoints are kept, up to 4,096 for each cause. An older report brings the endpoint back as the kept one says; a later one counts as it is. The reports of endpoints that left were kept without a bound.

--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -157,6 +157,9 @@
         announcement = report.announcement
         self._heartbeats.add(announcement.endpoint)
         if self._registry.record_report(report, now_s()):
+            # A late heartbeat of a removed endpoint brings back a later report.
+            report = self._registry.report(announcement.endpoint) or report
+            announcement = report.announcement
             events.ENDPOINT_REPORTED.log(
                 endpoint=announcement.endpoint,
                 born_unix_ms=report.born_unix_ms,
--- a/currantwell/fleet/endpoint_registry.py
+++ b/currantwell/fleet/endpoint_registry.py
@@ -1,7 +1,8 @@
 """The registry of endpoint reports at a control host.
 
 Invariant: of two reports of an endpoint the later one is kept, in whatever order they
-arrive.
+arrive. This also holds for an endpoint that was removed in between: an older report
+brings it back as last reported.
 
 The registry is saved to a file, so that after a restart of all hosts dispatch resumes
 before each endpoint has sent a heartbeat. The file is a hint that is never synced: if
@@ -19,10 +20,18 @@
 from ..ids import EndpointId
 from .messages import EndpointReport
 
-__all__ = ["EndpointRegistry", "FileHintStore", "HintStore", "MemoryHintStore"]
+__all__ = [
+    "EndpointRegistry",
+    "FileHintStore",
+    "HintStore",
+    "MemoryHintStore",
+    "RemovedReports",
+]
 
 # Four heartbeats of 1.5 s. Dispatchers keep an endpoint that they still reach.
 FORGET_AFTER_S = 6.0
+# Several times the number of endpoints, at about 1 KB each.
+MAX_REMOVED_REPORTS = 4_096
 
 
 class HintStore(Protocol):
@@ -104,6 +113,33 @@
 _decoder = msgspec.msgpack.Decoder(tuple[EndpointReport, ...])
 
 
+class RemovedReports:
+    """The last reports of endpoints that were removed, up to `MAX_REMOVED_REPORTS`.
+
+    The ones that were removed first are dropped first.
+    """
+
+    def __init__(self) -> None:
+        self._reports: dict[EndpointId, EndpointReport] = {}
+
+    def add(self, report: EndpointReport) -> None:
+        """Keep the last report of an endpoint that is removed."""
+        endpoint = report.announcement.endpoint
+        self._reports.pop(endpoint, None)
+        self._reports[endpoint] = report
+        if len(self._reports) > MAX_REMOVED_REPORTS:
+            del self._reports[next(iter(self._reports))]
+
+    def get(self, endpoint: EndpointId) -> EndpointReport | None:
+        """Return the last report of a removed endpoint, if it is kept."""
+        return self._reports.get(endpoint)
+
+    def take_latest(self, report: EndpointReport) -> EndpointReport:
+        """Return the later of a report and the kept one, which is no longer kept."""
+        kept = self._reports.pop(report.announcement.endpoint, report)
+        return max(report, kept, key=EndpointReport.sort_key)
+
+
 class EndpointRegistry:
     """The latest report and heartbeat time of each endpoint.
 
@@ -120,7 +156,8 @@
         self._hint = hint
         self._reports: dict[EndpointId, EndpointReport] = {}
         self._last_heartbeat_s: dict[EndpointId, float] = {}
-        self._departed: dict[EndpointId, EndpointReport] = {}
+        self._departed = RemovedReports()
+        self._forgotten = RemovedReports()
         for report in _decode(hint.load()):
             self._reports[report.announcement.endpoint] = report
             self._last_heartbeat_s[report.announcement.endpoint] = now_s
@@ -130,8 +167,12 @@
         """The latest report of each registered endpoint."""
         return self._reports.values()
 
+    def report(self, endpoint: EndpointId) -> EndpointReport | None:
+        """Return the latest report of an endpoint, if it is registered."""
+        return self._reports.get(endpoint)
+
     def record_report(self, report: EndpointReport, now_s: float) -> bool:
-        """Record a report; return whether it has an update for dispatchers."""
+        """Record a report; return whether `report` has an update for dispatchers."""
         endpoint = report.announcement.endpoint
         previous = self._reports.get(endpoint)
         departed = self._departed.get(endpoint)
@@ -139,6 +180,8 @@
             return False
         if previous is not None and previous.sort_key() >= report.sort_key():
             return False
+        if previous is None:
+            report = self._forgotten.take_latest(report)
         self._reports[endpoint] = report
         self._last_heartbeat_s[endpoint] = now_s
         return previous is None or (previous.announcement, previous.born_unix_ms) != (
@@ -154,7 +197,7 @@
         report = self._reports.pop(endpoint, None)
         self._last_heartbeat_s.pop(endpoint, None)
         if report is not None:
-            self._departed[endpoint] = report
+            self._departed.add(report)
         return report is not None
 
     def record_heartbeats(self, endpoints: Iterable[EndpointId], now_s: float) -> None:
@@ -177,7 +220,7 @@
             if now_s - last_heartbeat_s > FORGET_AFTER_S
         )
         for endpoint in unresponsive:
-            del self._reports[endpoint]
+            self._forgotten.add(self._reports.pop(endpoint))
             del self._last_heartbeat_s[endpoint]
         return unresponsive
 
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -14,6 +14,7 @@
 from ..ids import EndpointId, HostId
 from ..kernel import ServiceName
 from .channel import PING_INTERVAL_S, Channel, open_channel
+from .endpoint_registry import RemovedReports
 from .fleet_state import Ownership
 from .groups import EndpointGroup
 from .messages import (
@@ -78,6 +79,7 @@
         self.configuration: Configuration = NO_CONFIGURATION
         self.on_change: Callable[[], None] = lambda: None
         self.endpoints: dict[EndpointId, EndpointRecord] = {}
+        self._removed = RemovedReports()
         self._hello = hello
         self._routes = RouteTable()
         self._ownerships: dict[EndpointGroup, Ownership] = {}
@@ -136,8 +138,10 @@
             channel.ping_every(self._ping_interval_s)
 
     def remove_endpoint(self, endpoint: EndpointId) -> None:
-        """Remove an endpoint that answers neither control hosts nor its dispatcher."""
-        self.endpoints.pop(endpoint, None)
+        """Remove an endpoint that has left or is unresponsive."""
+        record = self.endpoints.pop(endpoint, None)
+        if record is not None:
+            self._removed.add(record.report)
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Keep a channel to each control host until cancelled."""
@@ -210,11 +214,13 @@
                 self._record_report(report)
         else:
             for endpoint in message.endpoints:
-                self.endpoints.pop(endpoint, None)
+                self.remove_endpoint(endpoint)
 
     def _record_report(self, report: EndpointReport) -> None:
         endpoint = report.announcement.endpoint
         record = self.endpoints.get(endpoint)
+        if record is None:
+            report = self._removed.take_latest(report)
         if record is None or report.sort_key() > record.report.sort_key():
             self.endpoints[endpoint] = EndpointRecord(report, now_s())
 
--- a/tests/fleet/test_endpoint_registry.py
+++ b/tests/fleet/test_endpoint_registry.py
@@ -7,9 +7,11 @@
 
 from currantwell.fleet.endpoint_registry import (
     FORGET_AFTER_S,
+    MAX_REMOVED_REPORTS,
     EndpointRegistry,
     FileHintStore,
     MemoryHintStore,
+    RemovedReports,
 )
 from tests.fleet.builders import a_report
 
@@ -62,6 +64,22 @@
     assert list(registry.reports) == [a_report(sequence=2, draining=True)]
 
 
+def test_a_forgotten_endpoint_that_reports_again_counts_as_it_is_now():
+    registry = a_registry()
+    registry.record_report(a_report(sequence=2, draining=True), 1.0)
+    registry.remove_unresponsive(1.5 + FORGET_AFTER_S)
+    assert registry.record_report(a_report(born_unix_ms=2_000), 9.0)
+    assert list(registry.reports) == [a_report(born_unix_ms=2_000)]
+
+
+def test_reports_of_removed_endpoints_are_kept_up_to_a_number():
+    removed = RemovedReports()
+    for number in range(MAX_REMOVED_REPORTS + 1):
+        removed.add(a_report(f"e{number}"))
+    assert removed.get("e0") is None
+    assert removed.get("e1") == a_report("e1")
+
+
 @pytest.fixture(params=["memory", "file"])
 def hint(request, tmp_path):
     return (
