Pass on drains from every control host

Callers saw starts 3.3 and 4.3 s after a drain was acknowledged. Cause: a report went from the control host that acknowledged it straight to the entry hosts, and nowhere else: the other control hosts recorded it and told nobody. A channel that is silent is closed after 3.2 s and takes up to 1.5 s to open again, and the bound is 2.5 s. A control host that was cut off learned of the drain as it reconnected, and its entry hosts did not. Change: a control host sends a drain that is new to it on to each host, once. A report that is not new goes no further, so it ends there. Weighed: a digest of the registry in the heartbeat messages, and a pull where it differs, costs less, and is late by the interval of these messages, 2 s, of the 2.5 s. New endpoints are not passed on.

--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -5,7 +5,7 @@
 once. The leader of the agreement also proposes the next ownerships.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from functools import partial
 
 import trio
@@ -102,6 +102,7 @@
         self._update_pending = trio.Event()
         self._hosts_changed = False
         self._pending_reports: dict[EndpointId, EndpointReport] = {}
+        self._pending_drains: dict[EndpointId, EndpointReport] = {}
         state.on_change = self._note_state_change
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
@@ -174,6 +175,7 @@
     def leave(self, endpoint: EndpointId) -> None:
         """Remove an endpoint that is shutting down, and notify all hosts."""
         self._pending_reports.pop(endpoint, None)
+        self._pending_drains.pop(endpoint, None)
         if self._registry.remove(endpoint):
             events.ENDPOINT_LEFT.log(endpoint=endpoint)
             self._registry_changed = True
@@ -215,9 +217,7 @@
             case HostHello():
                 self._process_hello(channel, message)
             case EndpointReports(reports):
-                for report in reports:
-                    if self._registry.record_report(report, now_s()):
-                        self._registry_changed = True
+                self._process_reports(channel, reports)
             case ControlHostsUpdate(addresses):
                 self._control_addresses.update(set(addresses) - {self._hello.address})
             case EndpointHeartbeats(endpoints):
@@ -227,6 +227,22 @@
                     if self._registry.remove(endpoint):
                         self._registry_changed = True
 
+    def _process_reports(
+        self, channel: Channel, reports: Iterable[EndpointReport]
+    ) -> None:
+        """Record the reports of another control host, and pass on new drains.
+
+        So a drain reaches each host from every control host, and none of the channels
+        or hosts on the way has to be in order.
+        """
+        for report in reports:
+            if not self._registry.record_report(report, now_s()):
+                continue
+            self._registry_changed = True
+            if report.announcement.draining:
+                self._pending_drains[report.announcement.endpoint] = report
+                self._update_pending.set()
+
     def _process_hello(self, channel: Channel, message: HostHello) -> None:
         if self._channels[channel] is None:
             events.HOST_CONNECTED.log(
@@ -276,6 +292,16 @@
 
     # Updates to other hosts.
 
+    def _pass_on(self, message: Message) -> None:
+        """Send what another control host sent on to each host, once.
+
+        Two control hosts have two channels; the one that this host opened is left out.
+        """
+        body = encode(message)
+        for channel, hello in self._channels.items():
+            if hello is not None:
+                channel.send_encoded(body)
+
     def _broadcast(self, message: Message) -> None:
         body = encode(message)
         for channel in self._channels:
@@ -328,6 +354,10 @@
                 reports = tuple(self._pending_reports.values())
                 self._pending_reports.clear()
                 self._broadcast(EndpointReports(reports))
+            if self._pending_drains:
+                reports = tuple(self._pending_drains.values())
+                self._pending_drains.clear()
+                self._pass_on(EndpointReports(reports))
 
     # Work of the leader.
 
--- a/tests/fleet/test_report_delivery.py
+++ b/tests/fleet/test_report_delivery.py
@@ -107,3 +107,22 @@
     entry = network.add_entry_host(1)
     await trio.sleep(DELIVERY_BOUND_S)
     assert entry.draining()
+
+
+async def test_an_acknowledged_drain_costs_few_bytes(network):
+    """A link at rest carries 8 KB a second for control; drains are rare there."""
+    entry = network.add_entry_host()
+    await post_heartbeat(network.services[0], 1, b"ready")
+    await trio.sleep(1.0)
+    before = {number: link.sent_messages for number, link in entry.links.items()}
+    bytes_before = sum(link.sent_bytes for link in entry.links.values())
+    for sequence in range(2, 6):
+        await post_heartbeat(network.services[0], sequence)
+        await trio.sleep(1.5)
+    after = {number: link.sent_messages for number, link in entry.links.items()}
+    # Each control host sends it once, and nothing for heartbeats that repeat it.
+    assert {
+        number: after[number] - before[number] for number in after
+    } == dict.fromkeys(range(CONTROL_HOSTS), 1)
+    received_bytes = sum(link.sent_bytes for link in entry.links.values())
+    assert received_bytes - bytes_before <= CONTROL_HOSTS * 400
