Acknowledge a drain once another control host has it

Callers saw starts 3.3 and 4.3 s after a drain was acknowledged. Cause: a control host answered 200, then waited 20 ms for a batch, then sent the report. If it was lost in that time, the others learned of the drain from the next heartbeat at another control host, up to 2.5 s later. Change: a drain is sent at once, a control host that didn't have it sends it back, and the 200 waits for that, for up to 0.6 s. Without it the answer is 503, and the endpoint asks another control host, whose answer is within the second that it waits. The only control host answers at once. Control hosts of an earlier release don't send it back: a single one of this release among them answers a drain with 503. The dispatcher logs drain_applied (650) when it stops starting tasks on an endpoint, with the sequence of endpoint_reported and how long the host had the report; a control host logs drain_unconfirmed (651).

--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -257,6 +257,20 @@
 CONFIGURATION_REFUSED = _event(
     612, "configuration_refused", Level.WARNING, "An invalid configuration was refused."
 )
+DRAIN_APPLIED = _event(
+    650,
+    "drain_applied",
+    Level.INFO,
+    "This dispatcher starts nothing more on an endpoint that drains; sequence is that "
+    "of endpoint_reported, and after_s tells how long this host had the report.",
+)
+DRAIN_UNCONFIRMED = _event(
+    651,
+    "drain_unconfirmed",
+    Level.WARNING,
+    "No other control host confirmed in time that it knows of a drain, which is not "
+    "acknowledged therefore.",
+)
 OWNER_CHANGED = _event(
     613,
     "owner_changed",
--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -17,6 +17,7 @@
 from ..ids import EndpointId, HostId
 from ..kernel import ServiceName
 from .channel import Channel, accept_channel, encode, open_channel
+from .drain_confirmations import DrainConfirmations
 from .endpoint_registry import EndpointRegistry, HintStore
 from .fleet_state import FleetState, PutConfiguration, SetOwner, encode_command
 from .messages import (
@@ -40,6 +41,8 @@
 LEADER_INTERVAL_S = 0.05
 # Operators try another control host after a second.
 PUT_TIMEOUT_S = 0.9
+# Endpoints ask another control host if they get no answer within a second.
+CONFIRM_TIMEOUT_S = 0.6
 # Long enough for a disk that stalls for a moment.
 OWNER_TIMEOUT_S = 2.0
 CLEANUP_INTERVAL_S = 1.0
@@ -102,6 +105,7 @@
         self._update_pending = trio.Event()
         self._hosts_changed = False
         self._pending_reports: dict[EndpointId, EndpointReport] = {}
+        self._confirmations = DrainConfirmations()
         self._pending_drains: dict[EndpointId, EndpointReport] = {}
         state.on_change = self._note_state_change
 
@@ -168,14 +172,41 @@
                 draining=announcement.draining,
                 url=announcement.url,
             )
-            self._pending_reports[announcement.endpoint] = report
-            self._update_pending.set()
             self._registry_changed = True
+            if announcement.draining:
+                # At once, as `confirm_drain` waits for another control host to have it.
+                self._pending_reports.pop(announcement.endpoint, None)
+                self._broadcast(EndpointReports((report,)))
+            else:
+                self._pending_reports[announcement.endpoint] = report
+                self._update_pending.set()
+        elif announcement.draining and not self._confirmations.contains(report):
+            for channel in self._control_channels():
+                channel.send(EndpointReports((report,)))
+
+    async def confirm_drain(self, report: EndpointReport) -> bool:
+        """Wait until a drain outlasts this host; return whether it does.
+
+        Another control host has to have it too, if any is connected.
+        """
+        if not report.announcement.draining or not self._control_channels():
+            return True
+        if self._registry.report(report.announcement.endpoint) is None:
+            return True
+        if await self._confirmations.wait(report, CONFIRM_TIMEOUT_S):
+            return True
+        events.DRAIN_UNCONFIRMED.log(
+            endpoint=report.announcement.endpoint,
+            born_unix_ms=report.born_unix_ms,
+            sequence=report.sequence,
+        )
+        return False
 
     def leave(self, endpoint: EndpointId) -> None:
         """Remove an endpoint that is shutting down, and notify all hosts."""
         self._pending_reports.pop(endpoint, None)
         self._pending_drains.pop(endpoint, None)
+        self._confirmations.discard(endpoint)
         if self._registry.remove(endpoint):
             events.ENDPOINT_LEFT.log(endpoint=endpoint)
             self._registry_changed = True
@@ -224,6 +255,7 @@
                 self._registry.record_heartbeats(endpoints, now_s())
             case EndpointsLeft(endpoints):
                 for endpoint in endpoints:
+                    self._confirmations.discard(endpoint)
                     if self._registry.remove(endpoint):
                         self._registry_changed = True
 
@@ -235,13 +267,26 @@
         So a drain reaches each host from every control host, and none of the channels
         or hosts on the way has to be in order.
         """
+        replies = []
         for report in reports:
-            if not self._registry.record_report(report, now_s()):
+            endpoint = report.announcement.endpoint
+            known = self._registry.report(endpoint)
+            changed = self._registry.record_report(report, now_s())
+            latest = self._registry.report(endpoint)
+            if known is not None:
+                self._confirmations.add(report)
+            repeated = known is not None and known.sort_key() == report.sort_key()
+            if latest is not None and latest.announcement.draining and not repeated:
+                replies.append(latest)
+            if not changed:
                 continue
             self._registry_changed = True
             if report.announcement.draining:
-                self._pending_drains[report.announcement.endpoint] = report
+                self._pending_drains[endpoint] = report
                 self._update_pending.set()
+        if replies:
+            # Tells the sender that this host has them.
+            channel.send(EndpointReports(tuple(replies)))
 
     def _process_hello(self, channel: Channel, message: HostHello) -> None:
         if self._channels[channel] is None:
@@ -292,6 +337,14 @@
 
     # Updates to other hosts.
 
+    def _control_channels(self) -> list[Channel]:
+        """Return the channels to other control hosts that have said who they are."""
+        return [
+            channel
+            for channel, hello in self._channels.items()
+            if hello is not None and not hello.dispatches
+        ]
+
     def _pass_on(self, message: Message) -> None:
         """Send what another control host sent on to each host, once.
 
@@ -406,6 +459,7 @@
                 self._heartbeats.clear()
             for endpoint in self._registry.remove_unresponsive(now_s()):
                 events.ENDPOINT_UNRESPONSIVE.log(endpoint=endpoint)
+                self._confirmations.discard(endpoint)
                 self._registry_changed = True
 
     async def _save_loop(self) -> None:
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -43,14 +43,15 @@
     """The latest report of an endpoint and the time of its last heartbeat.
 
     The time is on this host's clock, when a control host's message with the report or
-    the heartbeat arrived.
+    the heartbeat arrived; so is `received_s`, when that of the report arrived.
     """
 
-    __slots__ = ("last_heartbeat_s", "report")
+    __slots__ = ("last_heartbeat_s", "received_s", "report")
 
     def __init__(self, report: EndpointReport, last_heartbeat_s: float) -> None:
         self.report = report
         self.last_heartbeat_s = last_heartbeat_s
+        self.received_s = last_heartbeat_s
 
 
 class FleetView:
--- a/currantwell/fleet/local_dispatch.py
+++ b/currantwell/fleet/local_dispatch.py
@@ -220,6 +220,13 @@
                 report.announcement, incarnation=_incarnation(registration)
             )
         )
+        if in_use and report.announcement.draining:
+            events.DRAIN_APPLIED.log(
+                endpoint=endpoint,
+                born_unix_ms=report.born_unix_ms,
+                sequence=report.sequence,
+                after_s=round(now_s() - record.received_s, 3),
+            )
 
 
 def _incarnation(registration: _Registration) -> Incarnation:
--- a/tests/fleet/test_report_delivery.py
+++ b/tests/fleet/test_report_delivery.py
@@ -126,3 +126,34 @@
     } == dict.fromkeys(range(CONTROL_HOSTS), 1)
     received_bytes = sum(link.sent_bytes for link in entry.links.values())
     assert received_bytes - bytes_before <= CONTROL_HOSTS * 400
+
+
+async def test_a_drain_that_no_other_control_host_confirms_is_not_acknowledged(network):
+    """Its endpoint asks another control host, and this one again once it is back."""
+    await post_heartbeat(network.services[0], 1, b"ready")
+    await trio.sleep(1.0)
+    network.cut(0)
+    asked_s = trio.current_time()
+    assert await post_heartbeat(network.services[0], 2) == 503
+    assert trio.current_time() - asked_s < 1.0
+    assert await post_heartbeat(network.services[1], 3) == 200
+    network.connect(0, 2)
+    await trio.sleep(2 * LINK_DELAY_S)
+    assert await post_heartbeat(network.services[0], 4) == 200
+
+
+async def test_a_drain_is_acknowledged_by_the_only_control_host(nursery):
+    network = ReportNetwork(nursery, 1)
+    assert await post_heartbeat(network.services[0], 1) == 200
+
+
+async def test_a_drain_is_confirmed_though_another_host_has_a_later_report(network):
+    """Heartbeats of an endpoint that changes its control host may overtake."""
+    await post_heartbeat(network.services[0], 1, b"ready")
+    await trio.sleep(1.0)
+    for link in network.links.values():
+        link.silent = True
+    network.services[1].heartbeat(a_report(sequence=9, draining=True))
+    network.connect(0, 1)
+    network.services[0].heartbeat(a_report(sequence=8, draining=True))
+    assert await post_heartbeat(network.services[0], 8) == 200
