Show how long control hosts were silent and how much is queued for a host

Whether a report waits in a queue or on a silent channel could not be told from the record of the incident.

--- a/currantwell/fleet/channel.py
+++ b/currantwell/fleet/channel.py
@@ -78,6 +78,16 @@
         self._scope = trio.CancelScope()
         self.closed = False
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were queued since the kernel last took any of the queue."""
+        return len(self._unsent)
+
+    @property
+    def silent_for_s(self) -> float:
+        """Time since anything was received, in seconds; 0 before `messages` runs."""
+        return max(0.0, now_s() - self._received_s)
+
     def send(self, message: Message) -> None:
         """Queue a message; it is lost if the channel closes before it is written."""
         if not self.closed:
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -94,6 +94,11 @@
         """Whether this host is connected to any control host."""
         return bool(self._hosts)
 
+    @property
+    def longest_silence_s(self) -> float:
+        """The longest time since a connected control host sent anything, in seconds."""
+        return max((channel.silent_for_s for channel in self._hosts), default=0.0)
+
     @property
     def ownerships(self) -> Iterable[Ownership]:
         """The latest ownership of each group."""
--- a/tests/fleet/test_channel.py
+++ b/tests/fleet/test_channel.py
@@ -179,6 +179,25 @@
     return channel, peer
 
 
+async def test_what_the_kernel_does_not_take_counts_as_unsent(nursery):
+    channel, peer = await connected_to_socket(nursery)
+    assert not channel.unsent_bytes
+    for number in range(400_000):
+        channel.send(CancelJob(number))
+    assert channel.unsent_bytes > 0
+    peer.close()
+    nursery.cancel_scope.cancel()
+
+
+async def test_the_time_since_the_last_message_is_known(autojump_clock, nursery):
+    _, far = map(Channel, trio.testing.memory_stream_pair())
+    assert far.silent_for_s == 0.0
+    nursery.start_soon(receive, far, [])
+    await trio.sleep(0.5)
+    assert far.silent_for_s == 0.5
+    nursery.cancel_scope.cancel()
+
+
 async def test_a_message_does_not_land_inside_a_frame_that_is_half_sent(nursery):
     channel, peer = await connected_to_socket(nursery)
     sent = [ConfigurationUpdate(a_configuration(number)) for number in range(20_000)]
