--- a/tests/fleet/test_local_dispatch.py
+++ b/tests/fleet/test_local_dispatch.py
@@ -1,17 +1,24 @@
 """The result code of a job, and replies of a dispatcher that stops."""
 
 import pytest
+import trio
 
+from currantwell import events
 from currantwell.answers import Answer, JobState, TaskState, TaskStatus
 from currantwell.codes import ResultCode
 from currantwell.endpoint_protocol import AttemptRef, ResultLine
 from currantwell.fleet.fleet_state import Ownership
 from currantwell.fleet.fleet_view import FleetView
 from currantwell.fleet.groups import EndpointGroup
-from currantwell.fleet.local_dispatch import LocalDispatch, job_result_code
-from currantwell.fleet.messages import HostHello
+from currantwell.fleet.local_dispatch import (
+    REGISTER_INTERVAL_S,
+    LocalDispatch,
+    job_result_code,
+)
+from currantwell.fleet.messages import EndpointReports, HostHello
 from currantwell.ids import DataCentre, Epoch, HostId, Incarnation, JobKey
 from tests.builders import a_job_id, a_submission
+from tests.fleet.builders import a_hello, a_report
 from tests.test_dispatcher import E1, Bench, settle
 
 
@@ -79,3 +86,33 @@
     await bench.link.results(done)
     await settle()
     assert [reply.code for reply in replies] == [ResultCode.COMPLETE]
+
+
+async def test_the_log_tells_when_a_drain_was_applied(
+    nursery, autojump_clock, monkeypatch
+):
+    logged = []
+    monkeypatch.setattr(
+        type(events.DRAIN_APPLIED),
+        "log",
+        lambda event, **fields: logged.append((event, fields)),
+    )
+    bench = Bench()
+    host, incarnation = HostId("h-1"), Incarnation("i-1")
+    view = FleetView(a_hello("h-1"), [])
+    local = LocalDispatch(
+        Ownership(
+            EndpointGroup(DataCentre("valdres"), 0, 1), Epoch(2), host, incarnation
+        ),
+        view,
+        lambda ownership: bench.dispatcher,
+    )
+    nursery.start_soon(local.run)
+    view._process(None, EndpointReports((a_report(),)))
+    await trio.sleep(0.5)
+    view._process(None, EndpointReports((a_report(sequence=2, draining=True),)))
+    await trio.sleep(0.5)
+    rows = [fields for event, fields in logged if event is events.DRAIN_APPLIED]
+    assert [(row["endpoint"], row["sequence"]) for row in rows] == [("e1", 2)]
+    assert rows[0]["after_s"] <= REGISTER_INTERVAL_S
+    nursery.cancel_scope.cancel()
