--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -268,6 +268,20 @@
     "A control host did not send a newer configuration, or one that can't be used; "
     "another one is asked.",
 )
+DRAIN_APPLIED = _event(
+    650,
+    "drain_applied",
+    Level.INFO,
+    "This dispatcher starts nothing more on an endpoint that drains; sequence is that "
+    "of endpoint_reported, and after_s tells how long this host had the report.",
+)
+DRAIN_UNCONFIRMED = _event(
+    651,
+    "drain_unconfirmed",
+    Level.WARNING,
+    "No other control host confirmed in time that it knows of a drain, which is not "
+    "acknowledged therefore.",
+)
 OWNER_CHANGED = _event(
     613,
     "owner_changed",
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -16,6 +16,7 @@
 from ..kernel import ServiceName
 from .channel import PING_INTERVAL_S, Channel, open_channel
 from .configuration_transfer import ConfigurationFetch
+from .endpoint_registry import RemovedReports
 from .fleet_state import Ownership
 from .groups import EndpointGroup
 from .messages import (
@@ -46,14 +47,15 @@
     """The latest report of an endpoint and the time of its last heartbeat.
 
     The time is on this host's clock, when a control host's message with the report or
-    the heartbeat arrived.
+    the heartbeat arrived; so is `received_s`, when that of the report arrived.
     """
 
-    __slots__ = ("last_heartbeat_s", "report")
+    __slots__ = ("last_heartbeat_s", "received_s", "report")
 
     def __init__(self, report: EndpointReport, last_heartbeat_s: float) -> None:
         self.report = report
         self.last_heartbeat_s = last_heartbeat_s
+        self.received_s = last_heartbeat_s
 
 
 class FleetView:
@@ -79,6 +81,7 @@
     def __init__(self, hello: HostHello, seeds: Sequence[str]) -> None:
         self.on_change: Callable[[], None] = lambda: None
         self.endpoints: dict[EndpointId, EndpointRecord] = {}
+        self._removed = RemovedReports()
         self._hello = hello
         self._fetch: ConfigurationFetch[Channel] = ConfigurationFetch(hello.data_centre)
         self._fetch_changed = trio.Event()
@@ -99,6 +102,11 @@
         """Whether this host is connected to any control host."""
         return bool(self._hosts)
 
+    @property
+    def longest_silence_s(self) -> float:
+        """The longest time since a connected control host sent anything, in seconds."""
+        return max((channel.silent_for_s for channel in self._hosts), default=0.0)
+
     @property
     def ownerships(self) -> Iterable[Ownership]:
         """The latest ownership of each group."""
@@ -144,8 +152,10 @@
             channel.ping_every(self._ping_interval_s)
 
     def remove_endpoint(self, endpoint: EndpointId) -> None:
-        """Remove an endpoint that answers neither control hosts nor its dispatcher."""
-        self.endpoints.pop(endpoint, None)
+        """Remove an endpoint that has left or is unresponsive."""
+        record = self.endpoints.pop(endpoint, None)
+        if record is not None:
+            self._removed.add(record.report)
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Keep a channel to each control host until cancelled."""
@@ -230,11 +240,13 @@
                 self._record_report(report)
         else:
             for endpoint in message.endpoints:
-                self.endpoints.pop(endpoint, None)
+                self.remove_endpoint(endpoint)
 
     def _record_report(self, report: EndpointReport) -> None:
         endpoint = report.announcement.endpoint
         record = self.endpoints.get(endpoint)
+        if record is None:
+            report = self._removed.take_latest(report)
         if record is None or report.sort_key() > record.report.sort_key():
             self.endpoints[endpoint] = EndpointRecord(report, now_s())
 
