Decode frames of other hosts with whatever nesting they have

Seen: a signed frame with a body that is nested 100,000 deep ends the process that receives it; so does a number whose successor can't be encoded in the reply.

Cause: a decoder raises RecursionError for the nesting, which is no DecodeError, and the encoder raises OverflowError; both in a task of the nursery that serves all other hosts.

decoding.decode is the one place that knows what a decoder may raise, and raises MessageMalformed. A reply that can't be encoded is logged, and not sent.

Two cases of the test of malformed requests failed before: a nested body and a large number, both with the digest; without it a frame was dropped before it was decoded.

--- a/currantwell/errors.py
+++ b/currantwell/errors.py
@@ -16,6 +16,7 @@
     "InvalidKey",
     "InvalidRequest",
     "JournalDamaged",
+    "MessageMalformed",
     "NotAuthorized",
     "PeerUnreachable",
     "RequestRefused",
@@ -75,6 +76,10 @@
     """A request body was not read for lack of memory, so that its key is unknown."""
 
 
+class MessageMalformed(CurrantwellError):
+    """A message from outside the process can't be decoded."""
+
+
 class NotAuthorized(CurrantwellError):
     """The sender of a request is not authorized for it."""
 
--- a/currantwell/peers.py
+++ b/currantwell/peers.py
@@ -18,7 +18,8 @@
 import trio
 
 from . import events
-from .errors import PeerUnreachable
+from .decoding import decode
+from .errors import MessageMalformed, PeerUnreachable
 from .ids import HostId
 from .kernel import ServiceName
 
@@ -71,6 +72,9 @@
     body: msgspec.Raw
 
 
+_frame_decoder = msgspec.msgpack.Decoder(_Frame)
+
+
 class PeerTransport:
     """The service that exchanges requests with the other hosts.
 
@@ -156,8 +160,8 @@
         if frame is None or frame.name != reply.__name__:
             raise PeerUnreachable(f"{host}: answered with something else")
         try:
-            return msgspec.msgpack.decode(frame.body, type=reply)
-        except msgspec.DecodeError as error:
+            return decode(msgspec.msgpack.Decoder(reply), bytes(frame.body))
+        except MessageMalformed as error:
             events.REQUEST_MALFORMED.log(
                 host=host, message=frame.name, error=str(error)
             )
@@ -188,8 +192,9 @@
             while True:
                 data = await context.arecv()
                 reply = await self._handle_frame(data)
-                if reply is not None:
-                    await context.asend(self._encode_frame(reply))
+                frame = None if reply is None else self._encode_reply(reply)
+                if frame is not None:
+                    await context.asend(frame)
 
     async def _handle_frame(self, data: bytes) -> PeerMessage | None:
         frame = self._decode_frame(data)
@@ -197,14 +202,23 @@
             return None
         message, handler = self._handlers[frame.name]
         try:
-            request = msgspec.msgpack.decode(frame.body, type=message)
-        except msgspec.DecodeError as error:
+            request = decode(msgspec.msgpack.Decoder(message), bytes(frame.body))
+        except MessageMalformed as error:
             events.REQUEST_MALFORMED.log(
                 host=frame.sender, message=frame.name, error=str(error)
             )
             return None
         return await handler(frame.sender, request)
 
+    def _encode_reply(self, reply: PeerMessage) -> bytes | None:
+        """Encode a reply; return None if that fails, as for too large an integer."""
+        try:
+            return self._encode_frame(reply)
+        except (OverflowError, RecursionError, ValueError) as error:
+            name = type(reply).__name__
+            events.REQUEST_MALFORMED.log(message=name, error=str(error))
+            return None
+
     def _encode_frame(self, message: PeerMessage) -> bytes:
         body = msgspec.Raw(msgspec.msgpack.encode(message))
         frame = _Frame(self.host, type(message).__name__, body)
@@ -216,8 +230,8 @@
         if not hmac.compare_digest(digest, self._digest(payload)):
             return None
         try:
-            return msgspec.msgpack.decode(payload, type=_Frame)
-        except msgspec.DecodeError:
+            return decode(_frame_decoder, payload)
+        except MessageMalformed:
             return None
 
     def _digest(self, data: bytes) -> bytes:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -25,6 +25,13 @@
 AnsweredByAnotherVersion.__name__ = "Answered"
 
 
+NESTED = b"\x82\xa4type\xa5Asked\xa1x" + b"\x91" * 100_000 + b"\xc0"
+NESTED_REQUEST = b"\x93\xa1h\xa5Asked" + NESTED
+TOO_LARGE_REQUEST = msgspec.msgpack.encode(["h", "Asked", {"type": "Asked"}]).replace(
+    b"\x81", b"\x82\xa6number\xcf" + b"\xff" * 8, 1
+)
+
+
 async def answer(host, message):
     return Answered(message.number + 1)
 
@@ -55,7 +62,18 @@
 
 
 @pytest.mark.parametrize("signed", [False, True])
-@pytest.mark.parametrize("data", [b"", b"\xc1", msgspec.msgpack.encode(["h", 7, 1])])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xc1",
+        msgspec.msgpack.encode(["h", 7, 1]),
+        b"\x91" * 100_000 + b"\xc0",
+        NESTED_REQUEST,
+        TOO_LARGE_REQUEST,
+    ],
+    ids=["empty", "no message", "other types", "nested", "nested body", "large number"],
+)
 async def test_a_malformed_request_gets_no_reply_and_ends_nothing(data, signed):
     async with trio.open_nursery() as nursery:
         asking, answering = await two_hosts(nursery, answer)
