Accept from endpoints only addresses and numbers that can be used

Seen: an announcement with port 0, a path, a user or a line feed in its address is accepted; urlsplit drops line feeds. Splitting the same address again when the first connection is opened raises ValueError in a task of the dispatcher.

The whole address is matched, its port is 1 to 65535; the data centre and the pool are names; the numbers in messages of endpoints are bounded at decoding.

--- a/currantwell/endpoint_protocol.py
+++ b/currantwell/endpoint_protocol.py
@@ -6,12 +6,13 @@
 """
 
 import ipaddress
-import urllib.parse
-from typing import Any
+import re
+from typing import Annotated, Any
 
 import msgspec
 
 from .codes import ResultCode
+from .decoding import MAX_INTEGER, Count, Quantity
 from .errors import InvalidRequest
 from .ids import (
     DataCentre,
@@ -46,14 +47,16 @@
 MAX_PROCESSORS = 100_000.0
 MAX_MEMORY_MB = 2**40
 MAX_ACCELERATORS = 10_000
+MAX_PORT = 65_535
+_ENDPOINT_URL = re.compile(r"http://(?:([0-9.]+)|\[([0-9A-Fa-f:.]+)\]):([0-9]{1,5})/?")
 
 
 class AttemptRef(msgspec.Struct, frozen=True, order=True):
     """Identifies one attempt at one task of a job."""
 
     job: JobId
-    task: int
-    attempt: int
+    task: Count
+    attempt: Count
 
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -118,7 +121,10 @@
     """
     check_name("endpoint", announcement.endpoint)
     check_name("incarnation", announcement.incarnation)
+    check_name("data_centre", announcement.data_centre)
     check_name("rack", announcement.rack or "none")
+    if announcement.pool is not None:
+        check_name("pool", announcement.pool)
     if len(announcement.labels) > MAX_LABELS:
         raise InvalidRequest("labels", f"are more than {MAX_LABELS}")
     for label in announcement.labels:
@@ -139,12 +145,13 @@
 
 
 def _check_endpoint_url(url: str) -> None:
-    try:
-        parts = urllib.parse.urlsplit(url)
-        ipaddress.ip_address(parts.hostname or "")
-        valid = parts.scheme == "http" and parts.port is not None
-    except ValueError:
-        valid = False
+    match = _ENDPOINT_URL.fullmatch(url)
+    valid = match is not None and 1 <= int(match[3]) <= MAX_PORT
+    if match is not None:
+        try:
+            ipaddress.ip_address(match[1] or match[2])
+        except ValueError:
+            valid = False
     if not valid:
         raise InvalidRequest("url", "is not http://<IP number>:<port>")
 
@@ -234,7 +241,7 @@
     """
 
     incarnation: Incarnation
-    batch: int
+    batch: Count
     refused: tuple[RefusedStart, ...] = ()
 
 
@@ -271,7 +278,7 @@
     """
 
     incarnation: Incarnation
-    epoch: Epoch
+    epoch: Annotated[Epoch, msgspec.Meta(ge=0, le=MAX_INTEGER)]
     attempts: tuple[AttemptRef, ...] = ()
 
 
@@ -295,12 +302,12 @@
         Time spent in the queue of the endpoint.
     """
 
-    seq: int
+    seq: Count
     ref: AttemptRef
     code: ResultCode
     value: Any = None
-    run_s: float = 0.0
-    queue_s: float = 0.0
+    run_s: Quantity = 0.0
+    queue_s: Quantity = 0.0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="beat"):
@@ -320,11 +327,11 @@
         Processor cores in use at the last measurement; lags behind the true value.
     """
 
-    beat: int
+    beat: Count
     incarnation: Incarnation
-    running: int
+    running: Count
     draining: bool | None = False
-    used_processors: float = 0.0
+    used_processors: Quantity = 0.0
 
 
 ResultStreamLine = ResultLine | StartReply | Heartbeat
