Leave out odd reports of endpoints, from other hosts and from the hint

Seen: a report with a port out of range or a number that can't be encoded is recorded, passed on and saved; each process that reads it ends, also at each of its next starts. One entry of the hint that can't be decoded costs all others; a deeply nested one ends the process at each start.

Cause: only a heartbeat is checked, at the host that receives it; a report of another host or from the disk is not, and the entries of the hint are decoded as one.

The registry checks each report, wherever it is from, and decodes the entries of the hint one by one; those left out are logged (event 640). The others hold.

34 cases of the tests of the registry failed before.

--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -236,6 +236,18 @@
     Level.ERROR,
     "The cluster refused to register this host.",
 )
+ENDPOINT_REPORT_IGNORED = _event(
+    640,
+    "endpoint_report_ignored",
+    Level.WARNING,
+    "A report of an endpoint, from another host or a file, has an invalid value.",
+)
+ADDRESS_IGNORED = _event(
+    641,
+    "address_ignored",
+    Level.WARNING,
+    "Another host named a channel address that nothing can connect to.",
+)
 REQUEST_FAILED = _event(
     900, "request_failed", Level.ERROR, "A request failed with an unexpected error."
 )
--- a/currantwell/fleet/endpoint_registry.py
+++ b/currantwell/fleet/endpoint_registry.py
@@ -8,7 +8,7 @@
 it is lost or damaged, dispatch resumes one heartbeat interval later.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import Protocol
 
@@ -16,10 +16,18 @@
 import trio
 
 from .. import events
+from ..decoding import decode
+from ..errors import InvalidRequest, MessageMalformed
 from ..ids import EndpointId
-from .messages import EndpointReport
+from .messages import EndpointReport, check_report
 
-__all__ = ["EndpointRegistry", "FileHintStore", "HintStore", "MemoryHintStore"]
+__all__ = [
+    "EndpointRegistry",
+    "FileHintStore",
+    "HintStore",
+    "MemoryHintStore",
+    "is_usable",
+]
 
 # Four heartbeats of 1.5 s. Dispatchers keep an endpoint that they still reach.
 FORGET_AFTER_S = 6.0
@@ -101,7 +109,8 @@
             raise
 
 
-_decoder = msgspec.msgpack.Decoder(tuple[EndpointReport, ...])
+_entries_decoder = msgspec.msgpack.Decoder(list[msgspec.Raw])
+_report_decoder = msgspec.msgpack.Decoder(EndpointReport)
 
 
 class EndpointRegistry:
@@ -131,7 +140,12 @@
         return self._reports.values()
 
     def record_report(self, report: EndpointReport, now_s: float) -> bool:
-        """Record a report; return whether it has an update for dispatchers."""
+        """Record a report; return whether it has an update for dispatchers.
+
+        One with an invalid value is ignored, and logged.
+        """
+        if not is_usable(report):
+            return False
         endpoint = report.announcement.endpoint
         previous = self._reports.get(endpoint)
         departed = self._departed.get(endpoint)
@@ -182,11 +196,37 @@
         return unresponsive
 
 
-def _decode(data: bytes | None) -> tuple[EndpointReport, ...]:
+def is_usable(report: EndpointReport) -> bool:
+    """Return whether all values of a report are valid; log what is wrong otherwise.
+
+    Another host may have accepted it by other rules.
+    """
+    try:
+        check_report(report)
+    except InvalidRequest as error:
+        _log_odd_report(report.announcement.endpoint, error)
+        return False
+    return True
+
+
+def _decode(data: bytes | None) -> Iterator[EndpointReport]:
+    """Yield the usable reports of a hint; the others are logged."""
     if data is None:
-        return ()
+        return
     try:
-        return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+        entries = decode(_entries_decoder, data)
+    except MessageMalformed as error:
         events.HINT_UNAVAILABLE.log(error=str(error))
-        return ()
+        return
+    for entry in entries:
+        try:
+            report = decode(_report_decoder, bytes(entry))
+        except MessageMalformed as error:
+            _log_odd_report("", error)
+            continue
+        if is_usable(report):
+            yield report
+
+
+def _log_odd_report(endpoint: str, error: Exception) -> None:
+    events.ENDPOINT_REPORT_IGNORED.log(endpoint=endpoint[:80], error=str(error))
--- a/currantwell/fleet/messages.py
+++ b/currantwell/fleet/messages.py
@@ -1,10 +1,14 @@
 """Messages that the hosts of a fleet exchange over channels."""
 
+from typing import Annotated
+
 import msgspec
 
 from ..codes import ResultCode
-from ..endpoint_protocol import Announcement
-from ..ids import DataCentre, EndpointId, Epoch, HostId, Incarnation
+from ..decoding import MAX_INTEGER
+from ..endpoint_protocol import Announcement, check_announcement
+from ..errors import InvalidRequest
+from ..ids import DataCentre, EndpointId, Epoch, HostId, Incarnation, check_name
 from ..submission import Submission
 from .fleet_state import Ownership
 from .groups import EndpointGroup
@@ -26,8 +30,12 @@
     "OwnershipsUpdate",
     "Ping",
     "RunJob",
+    "check_report",
 ]
 
+# Far above the intervals in use; a peer that announces more is not waited for.
+MAX_PING_INTERVAL_S = 60.0
+
 
 class EndpointReport(msgspec.Struct, frozen=True):
     """The content of an endpoint's heartbeat to a control host.
@@ -55,6 +63,22 @@
         return self.born_unix_ms, self.sequence
 
 
+def check_report(report: EndpointReport) -> EndpointReport:
+    """Check the values of a report.
+
+    Raises
+    ------
+    InvalidRequest
+        If a value is invalid; it names the first invalid field.
+    """
+    check_announcement(report.announcement)
+    check_name("service", report.service)
+    for field in ("born_unix_ms", "sequence"):
+        if not 0 <= getattr(report, field) <= MAX_INTEGER:
+            raise InvalidRequest(field, f"is not between 0 and {MAX_INTEGER}")
+    return report
+
+
 class Ping(msgspec.Struct, frozen=True, tag="ping"):
     """Keeps a channel alive and announces the interval until the next ping.
 
@@ -64,7 +88,7 @@
         Time until the sender will send again, in seconds.
     """
 
-    next_s: float
+    next_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_PING_INTERVAL_S)]
 
 
 class HostHello(msgspec.Struct, frozen=True, tag="hello"):
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -39,12 +39,16 @@
 
 
 def a_report(endpoint="e1", sequence=1, born_unix_ms=1_000, **changes):
-    fields = {"slots": 8, "processors": 16.0, "pool": BOARD}
+    fields = {
+        "url": "http://127.0.0.1:9000",
+        "data_centre": DataCentre("valdres"),
+        "slots": 8,
+        "processors": 16.0,
+        "pool": BOARD,
+    }
     announcement = Announcement(
         EndpointId(endpoint),
         Incarnation(str(born_unix_ms)),
-        "http://127.0.0.1:9000",
-        DataCentre("valdres"),
         **{**fields, **changes},
     )
     return EndpointReport(announcement, BOARD, born_unix_ms, sequence)
--- a/tests/fleet/test_endpoint_registry.py
+++ b/tests/fleet/test_endpoint_registry.py
@@ -3,6 +3,7 @@
 import errno
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from currantwell.fleet.endpoint_registry import (
@@ -89,3 +90,51 @@
     assert [file.name for file in tmp_path.iterdir()] == ["hint"]
     assert await store.save(b"after")
     assert store.load() == b"after"
+
+
+ODD_REPORTS = [
+    a_report("odd", url="http://127.0.0.1:99999"),
+    a_report("odd", url="http://127.0.0.1:0"),
+    a_report("odd", url="http://127.0.0.1:90\n00"),
+    a_report("odd", url="somewhere"),
+    a_report("odd", sequence=2**64),
+    a_report("odd", born_unix_ms=2**70),
+    a_report("odd", slots=2**64),
+    a_report("odd", processors=float("nan")),
+    a_report("odd", processors=float("inf")),
+    a_report("odd\n"),
+]
+
+
+@pytest.mark.parametrize("odd", ODD_REPORTS)
+async def test_an_odd_report_is_not_recorded(hint, odd):
+    """Passed on, it ended the processes that read it; saved, each start did."""
+    registry = a_registry(hint)
+    assert registry.record_report(a_report(), 1.0)
+    assert not registry.record_report(odd, 1.0)
+    assert await registry.save()
+    assert list(a_registry(hint).reports) == [a_report()]
+
+
+ODD_ENTRIES = [
+    msgspec.msgpack.encode(a_report("odd", url="http://127.0.0.1:99999")),
+    msgspec.msgpack.encode(a_report("odd", processors=float("nan"))),
+    msgspec.msgpack.encode({"announcement": 7}),
+    msgspec.msgpack.encode({"odd": [[[[]]]]}),
+    b"\x91" * 200 + b"\xc0",
+    b"\xa1\xff",
+    b"\xc0",
+]
+
+
+@pytest.mark.parametrize("odd", ODD_ENTRIES)
+async def test_one_odd_entry_of_a_hint_leaves_the_others(hint, odd):
+    good = msgspec.msgpack.encode(a_report())
+    await hint.save(b"\x93" + good + odd + msgspec.msgpack.encode(a_report("e2")))
+    assert list(a_registry(hint).reports) == [a_report(), a_report("e2")]
+
+
+async def test_a_hint_that_is_nested_too_deep_is_ignored(hint):
+    """It ended the process at each of its starts."""
+    await hint.save(b"\x91" * 100_000 + b"\xc0")
+    assert not list(a_registry(hint).reports)
