Ignore what can't be used in messages between hosts

Seen: a nested message, a ping interval that is no number, and a channel address with a port out of range each end the process that receives them; an address is passed on and ends all hosts in turn. An endless ping interval keeps a channel whose other end is gone.

Cause: RecursionError, ValueError of a deadline that is not a number, in a system task of the loop, and OverflowError of connect, none of them expected.

An entry host leaves odd reports out of its view, and takes the others.

--- a/currantwell/fleet/channel.py
+++ b/currantwell/fleet/channel.py
@@ -9,18 +9,29 @@
 """
 
 import math
-from collections.abc import AsyncIterator
+import re
+from collections.abc import AsyncIterator, Iterable
 from contextlib import suppress
 
 import msgspec
 import trio
 
+from .. import events
 from ..clock import now_s
+from ..decoding import decode
 from ..direct_stream import DirectStream, open_direct_stream
+from ..errors import MessageMalformed
 from .keepalive import Keepalive
 from .messages import Message, Ping
 
-__all__ = ["PING_INTERVAL_S", "Channel", "accept_channel", "encode", "open_channel"]
+__all__ = [
+    "PING_INTERVAL_S",
+    "Channel",
+    "accept_channel",
+    "encode",
+    "open_channel",
+    "usable_addresses",
+]
 
 # Interval while the other end relies on the pings. Each ping wakes up both ends.
 PING_INTERVAL_S = 0.19
@@ -39,6 +50,8 @@
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 RECEIVE_BYTES = 64 * 1024
 LENGTH_BYTES = 4
+MAX_PORT = 65_535
+_ADDRESS = re.compile(r"[A-Za-z0-9._-]{1,255}:([0-9]{1,5})")
 
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
@@ -116,14 +129,15 @@
                 self._received_s = now_s()
                 buffer += data
                 for frame in _take_frames(buffer):
-                    message = _decoder.decode(frame)
+                    message = decode(_decoder, frame)
                     if isinstance(message, Ping):
                         self._expect_message_within(message.next_s)
                     else:
                         yield message
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
-        except (msgspec.MsgspecError, ValueError):
+        except MessageMalformed as error:
+            events.REQUEST_MALFORMED.log(message="channel", error=str(error))
             return
         finally:
             self.close()
@@ -236,7 +250,7 @@
     while len(buffer) - at >= LENGTH_BYTES:
         length = int.from_bytes(buffer[at : at + LENGTH_BYTES], "big")
         if length > MAX_FRAME_BYTES:
-            raise ValueError(f"frame of {length} bytes exceeds the size limit")
+            raise MessageMalformed(f"frame of {length} bytes exceeds the size limit")
         end = at + LENGTH_BYTES + length
         if len(buffer) < end:
             break
@@ -251,12 +265,31 @@
     return _encoder.encode(message)
 
 
+def usable_addresses(addresses: Iterable[str]) -> set[str]:
+    """Return the addresses that may be connected to; the others are logged."""
+    usable = set()
+    for address in addresses:
+        if _is_address(address):
+            usable.add(address)
+        else:
+            events.ADDRESS_IGNORED.log(address=address[:80])
+    return usable
+
+
+def _is_address(address: str) -> bool:
+    match = _ADDRESS.fullmatch(address)
+    return match is not None and 1 <= int(match[1]) <= MAX_PORT
+
+
 async def open_channel(address: str, ping_s: float = PING_INTERVAL_S) -> Channel | None:
     """Connect to ``IP:port``; return None if the connection fails."""
+    if not _is_address(address):
+        return None
     host, _, port = address.rpartition(":")
     try:
         with trio.fail_after(CONNECT_TIMEOUT_S):
             stream = await open_direct_stream(host, int(port))
-    except (OSError, trio.TooSlowError):
+    except (OSError, UnicodeError, trio.TooSlowError):
+        # The codec of host names refuses some with an UnicodeError.
         return None
     return Channel(stream, ping_s)
--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -16,7 +16,13 @@
 from ..errors import AgreementLost
 from ..ids import EndpointId, HostId
 from ..kernel import ServiceName
-from .channel import Channel, accept_channel, encode, open_channel
+from .channel import (
+    Channel,
+    accept_channel,
+    encode,
+    open_channel,
+    usable_addresses,
+)
 from .endpoint_registry import EndpointRegistry, HintStore
 from .fleet_state import FleetState, PutConfiguration, SetOwner, encode_command
 from .messages import (
@@ -216,7 +222,8 @@
                     if self._registry.record_report(report, now_s()):
                         self._registry_changed = True
             case ControlHostsUpdate(addresses):
-                self._control_addresses.update(set(addresses) - {self._hello.address})
+                self._control_addresses |= usable_addresses(addresses)
+                self._control_addresses.discard(self._hello.address)
             case EndpointHeartbeats(endpoints):
                 self._registry.record_heartbeats(endpoints, now_s())
             case EndpointsLeft(endpoints):
@@ -237,7 +244,8 @@
         if seen is None or seen.hello.incarnation != message.incarnation:
             seen = self._liveness[message.host] = HostLiveness(message, now, now)
         seen.hello, seen.last_seen_s = message, now
-        if not message.dispatches and message.address not in self._control_addresses:
+        known = message.address in self._control_addresses
+        if not message.dispatches and not known and usable_addresses([message.address]):
             self._control_addresses.add(message.address)
             self._broadcast(self._control_hosts())
         self._note_hosts_change()
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -13,7 +13,8 @@
 from ..clock import now_s
 from ..ids import EndpointId, HostId
 from ..kernel import ServiceName
-from .channel import PING_INTERVAL_S, Channel, open_channel
+from .channel import PING_INTERVAL_S, Channel, open_channel, usable_addresses
+from .endpoint_registry import is_usable
 from .fleet_state import Ownership
 from .groups import EndpointGroup
 from .messages import (
@@ -123,7 +124,7 @@
 
     def add_control_addresses(self, addresses: Iterable[str]) -> None:
         """Connect to further control hosts too."""
-        self._control_addresses.update(addresses)
+        self._control_addresses |= usable_addresses(addresses)
         self._addresses_changed.set()
 
     def set_dispatching(self, dispatching: bool) -> None:
@@ -215,7 +216,9 @@
     def _record_report(self, report: EndpointReport) -> None:
         endpoint = report.announcement.endpoint
         record = self.endpoints.get(endpoint)
-        if record is None or report.sort_key() > record.report.sort_key():
+        if record is not None and report.sort_key() <= record.report.sort_key():
+            return
+        if is_usable(report):
             self.endpoints[endpoint] = EndpointRecord(report, now_s())
 
     def _apply_configuration(self, configuration: Configuration) -> None:
--- a/tests/fleet/test_channel.py
+++ b/tests/fleet/test_channel.py
@@ -1,10 +1,12 @@
 """Channels: complete messages in order, and detection of a lost peer."""
 
+import math
 import socket
 import time
 from contextlib import suppress
 from functools import partial
 
+import pytest
 import trio
 import trio.testing
 
@@ -105,6 +107,52 @@
     assert channel.closed
 
 
+@pytest.mark.parametrize("kind", [b"\x91", b"\x81\xa1a"])
+async def test_a_message_that_is_nested_too_deep_closes_the_channel(kind):
+    """It ended the process that received it."""
+    near, far = trio.testing.memory_stream_pair()
+    channel = Channel(far)
+    body = b"\x82\xa4type\xa6cancel\xa1x" + kind * 100_000 + b"\xc0"
+    await near.send_all(len(body).to_bytes(4, "big") + body)
+    await receive(channel, [])
+    assert channel.closed
+
+
+@pytest.mark.parametrize("next_s", [math.nan, math.inf, -math.inf, -1.0, 0.0, 1e308])
+async def test_an_odd_ping_interval_closes_the_channel(next_s, autojump_clock, nursery):
+    """One that is no number ended the process, an endless one kept a dead channel."""
+    near, far = trio.testing.memory_stream_pair()
+    channel = Channel(far)
+    nursery.start_soon(channel.run)
+    body = encode(Ping(next_s))
+    await near.send_all(len(body).to_bytes(4, "big") + body)
+    with trio.fail_after(60.0):
+        await receive(channel, [])
+    assert channel.closed
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1:99999",
+        "127.0.0.1:-1",
+        "127.0.0.1:0",
+        "127.0.0.1:" + "9" * 5_000,
+        "127.0.0.1:7x",
+        "127.0.0.1",
+        "",
+        "a\nb:1",
+        "a\0b:1",
+        "." * 300 + ":1",
+        "." * 30 + ":1",
+    ],
+    ids=lambda address: address[:20],
+)
+async def test_an_odd_address_counts_as_one_without_a_connection(address):
+    """It ended each process that a host had told the address to."""
+    assert await open_channel(address) is None
+
+
 async def test_a_frame_that_is_too_large_closes_the_channel():
     near, far = trio.testing.memory_stream_pair()
     channel = Channel(far)
--- a/tests/fleet/test_control_service.py
+++ b/tests/fleet/test_control_service.py
@@ -1,5 +1,6 @@
 """The control service passes on what it knows, whatever its disk does."""
 
+import msgspec
 import pytest
 import trio
 
@@ -12,7 +13,11 @@
     MemoryHintStore,
 )
 from currantwell.fleet.fleet_state import FleetState
-from currantwell.fleet.messages import EndpointHeartbeats
+from currantwell.fleet.messages import (
+    ControlHostsUpdate,
+    EndpointHeartbeats,
+    EndpointReports,
+)
 from currantwell.fleet.ownership import OwnershipRule
 from tests.fleet.builders import a_hello, a_report
 
@@ -105,3 +110,24 @@
     assert list(EndpointRegistry(hint, 0.0).reports)
     await trio.sleep(FORGET_AFTER_S + 2 * CLEANUP_INTERVAL_S)
     assert not list(EndpointRegistry(hint, 0.0).reports)
+
+
+ODD_ADDRESSES = ["127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1", "", "a\nb:1"]
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+async def test_an_address_that_can_not_be_used_is_neither_tried_nor_passed_on(address):
+    """It ended this host, and each host that it was passed on to."""
+    service, channel = a_service(MemoryHintStore())
+    hello = msgspec.structs.replace(a_hello(dispatches=False), address=address)
+    service._process(channel, hello)
+    service._process(channel, ControlHostsUpdate((address, "127.0.0.1:7002")))
+    assert service._control_addresses == {"127.0.0.1:7002"}
+    assert channel.sent == []
+
+
+async def test_an_odd_report_of_another_host_leaves_the_others():
+    service, channel = a_service(MemoryHintStore())
+    odd = a_report("odd", url="http://127.0.0.1:99999")
+    service._process(channel, EndpointReports((odd, a_report())))
+    assert list(service._registry.reports) == [a_report()]
