Refuse odd heartbeats and configurations, and drop odd replies of workers

Seen: a heartbeat with "sequence" 2**64 or "born" 2**70 gets 200 and ends the control process, each in turn; a configuration with "version" 2**70 gets 500, and is sent again for ever. A worker's reply that is nested too deep, has a clock of 2**64, or rows that are short or of other types ends the entry host.

Cause: decoders take integers of any size, and rows were lists of anything; the encoder and the code after them raise OverflowError, IndexError, TypeError or RecursionError in tasks of nurseries.

A reply that can't be decoded counts as none.

Failed before, over real processes: after the first odd heartbeat the control host gave no reply; both configurations got 500.

--- a/tests/cooperative/test_programs.py
+++ b/tests/cooperative/test_programs.py
@@ -4,6 +4,7 @@
 import signal
 from pathlib import Path
 
+import httpcore
 import pytest
 import trio
 
@@ -528,3 +529,87 @@
                 await deployment.metrics(machine)
             ):
                 await trio.sleep(0.1)
+
+
+NESTED = '{"odd":' + "[" * 100_000
+ODD_HEARTBEATS = [
+    {"sequence": 2**64},
+    {"born": 2**70},
+    {"born": 2**52},
+    {"slots": 2**70},
+    {"address": "127.0.0.1:99999"},
+    {"address": "127.0.0.1:0"},
+    {"address": "127.0.0.1:80\n80"},
+    {"address": "127.0.0.1:8080/path"},
+    {"zone": "nowhere"},
+    {"zone": "no\nzone"},
+    {"service": "of nobody"},
+    {"service": "nobody"},
+]
+
+
+async def post(url, content):
+    """Return the status of the reply to a request, None without a complete reply."""
+    try:
+        with trio.fail_after(PATIENCE_S):
+            async with httpcore.AsyncConnectionPool() as pool:
+                return (await pool.request("POST", url, content=content)).status
+    except (httpcore.NetworkError, httpcore.ProtocolError, trio.TooSlowError):
+        return None
+
+
+async def test_an_odd_heartbeat_ends_no_process_and_hides_no_worker(tmp_path):
+    """Each control host that it was sent to ended, and each start read it again."""
+    async with deployed(tmp_path) as deployment:
+        machines = (*deployment.controls, *deployment.entries)
+        heartbeat = {
+            "service": "board",
+            "address": "127.0.0.1:9",
+            "zone": "valdres",
+            "slots": 8,
+            "state": "ready",
+            "sequence": 1,
+            "born": 1_000,
+            "capacity": {"cpu_millicores": 16000, "memory_request_mb": 1000},
+            "labels": ["a", "r1"],
+        }
+        bodies = [json.dumps({**heartbeat, **odd}) for odd in ODD_HEARTBEATS]
+        for body in (*bodies, NESTED, json.dumps(heartbeat)[:-9]):
+            for machine in deployment.controls:
+                url = f"http://{machine.ip}:{CONTROL_PORT}/-/Instances.Heartbeat/i-99"
+                assert await post(url, body.encode()) in (200, 400), body[:90]
+        await trio.sleep(1.5)
+        assert [each.name for each in machines if each.process.poll() is not None] == []
+        for machine in deployment.controls:
+            deployment.restart(machine)
+        await deployment.until_listening(*deployment.controls)
+        worker = deployment.workers[0]
+        worker.draining = True
+        drained = f'"endpoint":"{worker.identifier}"'
+        with trio.fail_after(PATIENCE_S):
+            while not any(
+                "endpoint_reported" in line
+                and drained in line.replace(" ", "")
+                and '"draining":true' in line.replace(" ", "")
+                for machine in deployment.controls
+                for line in machine.log().splitlines()
+            ):
+                await trio.sleep(0.1)
+        for machine in deployment.entries:
+            await until_served(deployment, machine)
+        assert [each.name for each in machines if each.process.poll() is not None] == []
+        assert "host_failed" not in "".join(each.log() for each in machines)
+
+
+@pytest.mark.parametrize(
+    "change", [{"version": 2**70}, {"limits": {"max_body_bytes": 2**70}}], ids=str
+)
+async def test_a_configuration_with_a_number_out_of_range_is_refused(tmp_path, change):
+    """It was answered with 500, and sent again for ever."""
+    async with deployed(tmp_path) as deployment:
+        body = await deployment.put(2)
+        for machine in deployment.controls:
+            url = f"http://{machine.ip}:{CONTROL_PORT}/-/Configuration.Put"
+            reply = await deployment.call("POST", url, {**body, "version": 3, **change})
+            assert reply is not None and reply[0] == 400
+            assert await deployment.read(machine) == (200, body)
--- a/tests/cooperative/test_wire.py
+++ b/tests/cooperative/test_wire.py
@@ -1,7 +1,9 @@
 """The platform's bodies: decoded into currantwell's types, refused if invalid."""
 
 import json
+import time
 
+import msgspec
 import pytest
 
 from cooperative.operator_api import MAX_CONFIGURATION_BYTES
@@ -195,3 +197,101 @@
     assert len(source) <= MAX_CONFIGURATION_BYTES
     command = encode_command(PutConfiguration(decode_configuration(source)))
     assert len(command) <= MAX_COMMAND_BYTES
+
+
+HUGE = int("9" * 4_000)
+DAY_MS = 86_400_000
+
+
+@pytest.mark.parametrize("value", [2**53 + 1, 2**64, 2**70, HUGE, -1])
+@pytest.mark.parametrize("field", ["sequence", "born", "slots"])
+def test_a_heartbeat_with_an_integer_out_of_range_is_refused(field, value):
+    """It was accepted, and its first encoding ended the process."""
+    with pytest.raises(InvalidRequest):
+        decode_heartbeat("i-1", encoded(HEARTBEAT, **{field: value}))
+
+
+@pytest.mark.parametrize("value", [2**70, HUGE, -1])
+@pytest.mark.parametrize("field", ["cpu_millicores", "memory_request_mb", "gpus"])
+def test_a_capacity_out_of_range_is_refused(field, value):
+    capacity = {**HEARTBEAT["capacity"], field: value}
+    with pytest.raises(InvalidRequest):
+        decode_heartbeat("i-1", encoded(HEARTBEAT, capacity=capacity))
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"address": "10.1.0.9:0"},
+        {"address": "10.1.0.9:99999"},
+        {"address": "10.1.0.9:-1"},
+        {"address": "10.1.0.9:" + "9" * 5_000},
+        {"address": "10.1.0.9:8080\n"},
+        {"address": "10.1.0.9:80\n80"},
+        {"address": "10.1.0.9:8080\r\nx: y"},
+        {"address": "10.1.0.9:8080/path"},
+        {"address": "user@10.1.0.9:8080"},
+        {"address": "10.1.0.9"},
+        {"zone": ""},
+        {"zone": "val\ndres"},
+        {"zone": "v" * 10_000},
+        {"service": ""},
+        {"service": "board\n"},
+        {"labels": ["a", "r1\n"]},
+    ],
+    ids=lambda changes: str(changes)[:40],
+)
+def test_a_heartbeat_that_names_no_usable_worker_is_refused(changes):
+    with pytest.raises(InvalidRequest):
+        decode_heartbeat("i-1", encoded(HEARTBEAT, **changes))
+
+
+def test_a_start_time_far_in_the_future_is_refused():
+    """It would hide the heartbeats of the worker that has the id."""
+    now_ms = int(time.time() * 1000)
+    decode_heartbeat("i-1", encoded(HEARTBEAT, born=now_ms + DAY_MS // 2))
+    with pytest.raises(InvalidRequest) as caught:
+        decode_heartbeat("i-1", encoded(HEARTBEAT, born=now_ms + 2 * DAY_MS))
+    assert caught.value.field == "born"
+
+
+def test_a_heartbeat_with_values_at_their_limits_can_be_encoded_again():
+    capacity = {"cpu_millicores": 10**8, "memory_request_mb": 2**40, "gpus": 10_000}
+    body = encoded(HEARTBEAT, sequence=2**53, slots=10_000, capacity=capacity)
+    msgspec.msgpack.encode(decode_heartbeat("i-1", body))
+
+
+@pytest.mark.parametrize("value", [2**64, 2**70, HUGE, -HUGE])
+@pytest.mark.parametrize(
+    "field", ["timeout_ms", "target_duration_ms", "priority", "max_attempts", "stretch"]
+)
+def test_a_route_with_a_number_out_of_range_is_refused(field, value):
+    with pytest.raises(InvalidRequest):
+        decode_configuration(encoded(CONFIGURATION, routes=[{**ROUTE, field: value}]))
+
+
+@pytest.mark.parametrize("value", [2**64, 2**70, HUGE])
+def test_a_configuration_with_a_number_out_of_range_is_refused(value):
+    """Encoding its command failed, which was answered with 500 at each try."""
+    with pytest.raises(InvalidRequest):
+        decode_configuration(encoded(CONFIGURATION, version=value))
+    with pytest.raises(InvalidRequest):
+        decode_configuration(encoded(CONFIGURATION, limits={"max_body_bytes": value}))
+
+
+@pytest.mark.parametrize("value", [2**64, 2**70, HUGE, -1])
+@pytest.mark.parametrize(
+    "field",
+    ["cpu_millicores", "memory_request_mb", "gpus", "estimated_ms", "max_per_server"],
+)
+def test_a_step_with_a_number_out_of_range_is_refused(field, value):
+    with pytest.raises(InvalidRequest):
+        decode_job(encoded(JOB, steps=[{"count": 1, field: value}]))
+
+
+@pytest.mark.parametrize("decode", [decode_configuration, decode_job])
+@pytest.mark.parametrize("kind", [b"[", b'{"a":'])
+def test_a_body_that_is_nested_too_deep_is_refused(decode, kind):
+    body = b'{"odd":' + kind * 100_000
+    with pytest.raises(InvalidRequest):
+        decode(body)
--- a/tests/cooperative/test_worker_link.py
+++ b/tests/cooperative/test_worker_link.py
@@ -324,3 +324,124 @@
         link.send([a_start()])
         await until(lambda: handler.started_before is not None)
         assert not handler.started_before
+
+
+class OddReplies(Worker):
+    """Replies to the polls with odd lists until they are set to None."""
+
+    def __init__(self, **odd):
+        super().__init__()
+        self.odd = odd
+        self.odd_replies = 0
+
+    async def hold(self, order):
+        lists = await super().hold(order)
+        if self.odd is None:
+            return lists
+        self.odd_replies += 1
+        return {**lists, **self.odd}
+
+
+class OddBodies(OddReplies):
+    """Replies to all requests with a body that is no JSON object of the protocol."""
+
+    def __init__(self, body):
+        super().__init__()
+        self.body = body
+
+    async def answer(self, send, status, reply):
+        if self.odd is None:
+            await super().answer(send, status, reply)
+            return
+        self.odd_replies += 1
+        await send({"type": "http.response.start", "status": status, "headers": []})
+        await send({"type": "http.response.body", "body": self.body})
+
+
+HUGE = int("9" * 4_000)
+DEEP = b'{"clock_ms":1,"running":[],"ended":[],"x":' + b"[" * 100_000
+ODD_LISTS = [
+    {"clock_ms": 2**64},
+    {"clock_ms": HUGE},
+    {"clock_ms": -1},
+    {"clock_ms": "soon"},
+    {"running": [["j.0.0.0"]]},
+    {"running": [[["j.0.0.0"], 1, "", 5, 0]]},
+    {"running": [["j.0.0.0", HUGE, "", 5, 0]]},
+    {"running": [["j.0.0.0", 1, "", "half", 0]]},
+    {"running": [["j.0.0.0", 1, "", HUGE, 0]]},
+    {"running": [["j.0.0.0", 1]]},
+    {"ended": [["one", "j.0.0.0", 1, "done", ""]]},
+    {"ended": [[HUGE, "j.0.0.0", 1, "done", ""]]},
+    {"ended": [[1, "j.0.0.0", "first", "done", ""]]},
+    {"ended": [[1, "j.0.0.0", 1, ["done"], ""]]},
+    {"ended": [[1, "j.0.0.0", 1]]},
+    {"ended": [[]]},
+    {"born": HUGE},
+]
+
+
+@pytest.mark.parametrize("lists", ODD_LISTS, ids=lambda lists: str(lists)[:40])
+@pytest.mark.parametrize("adopted", [False, True])
+async def test_odd_lists_of_a_worker_count_as_no_reply(lists, adopted):
+    """They ended the process, which sent requests to all workers of a group."""
+    worker = OddReplies(**lists)
+    odd, worker.odd = worker.odd, None if adopted else worker.odd
+    async with linked(worker) as (link, handler):
+        if adopted:
+            await until(lambda: handler.reachable)
+            worker.odd = odd
+        before = worker.odd_replies
+        await until(lambda: worker.odd_replies > before + 1)
+        assert not handler.reachable
+        worker.odd = None
+        await until(lambda: handler.reachable)
+        link.send([a_start()])
+        await until(lambda: handler.results)
+    (result,) = handler.results
+    assert result.code is ResultCode.COMPLETE
+
+
+@pytest.mark.parametrize("body", [DEEP, b'{"clock_ms":' + b"9" * 5_000, b"\xff", b""])
+async def test_a_body_that_can_not_be_decoded_counts_as_no_reply(body):
+    worker = OddBodies(body)
+    async with linked(worker) as (_, handler):
+        await until(lambda: worker.odd_replies > 1)
+        assert not handler.reachable
+        worker.odd = None
+        await until(lambda: handler.reachable)
+
+
+class OddStartReplies(Worker):
+    """Replies to starts with a body that can't be decoded."""
+
+    def __init__(self, body, status):
+        super().__init__()
+        self.odd = body, status
+
+    async def __call__(self, scope, receive, send):
+        if scope["path"] != "/-/run-start":
+            await super().__call__(scope, receive, send)
+            return
+        self.odd_send = send
+        await super().__call__(scope, receive, self.send_odd)
+
+    async def send_odd(self, event):
+        body, status = self.odd
+        if event["type"] == "http.response.start":
+            event = {**event, "status": status}
+        else:
+            event = {**event, "body": body}
+        await self.odd_send(event)
+
+
+@pytest.mark.parametrize("body", [DEEP, b'{"clock_ms":%d}' % HUGE, b"\xff"])
+@pytest.mark.parametrize("status", [200, 409])
+async def test_a_reply_to_a_start_may_be_odd(body, status):
+    worker = OddStartReplies(body, status)
+    async with linked(worker) as (link, handler):
+        await until(lambda: handler.reachable)
+        link.send([a_start()])
+        await until(lambda: handler.results or handler.refused)
+        await trio.sleep(0.2)
+        assert handler.reachable
