Refuse numbers out of range in operators' changes

Seen: a change with a "version" or a quota with a "max_waiting" of 2**70 is answered with 500.

Cause: the decoder takes it, and encoding the command raises OverflowError.

Both are of the bounded type, and refused as a malformed body.

--- a/currantwell/admin_protocol.py
+++ b/currantwell/admin_protocol.py
@@ -5,6 +5,7 @@
 from .audit import AuditEntry
 from .changes import Winner
 from .codes import ResultCode
+from .decoding import Integer
 from .ids import ChangeId, DataCentre, EndpointId, HostId, Team
 from .presets import Preset
 from .quotas import Quota
@@ -42,7 +43,7 @@
 
     id: ChangeId
     reason: str
-    version: int
+    version: Integer
 
 
 class PutPresetRequest(ChangeRequest, frozen=True, forbid_unknown_fields=True):
--- a/currantwell/quotas.py
+++ b/currantwell/quotas.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from .decoding import Integer
 from .ids import Team
 
 __all__ = ["DEFAULT_QUOTA", "EqualQuotas", "Quota", "QuotaSource"]
@@ -21,7 +22,7 @@
     """
 
     weight: float = 1.0
-    max_waiting: int = 5_000
+    max_waiting: Integer = 5_000
 
 
 DEFAULT_QUOTA = Quota()
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -1,4 +1,5 @@
-import msgspec
+import json
+
 import pytest
 import trio
 
@@ -32,7 +33,7 @@
 
     async def change(self, method, path, headers=OPERATOR, **fields):
         body = {"id": "c-1", "reason": "dawn", "version": 1} | fields
-        data = msgspec.json.encode(body)
+        data = json.dumps(body).encode()
         return await ask(self.app, method, f"/v1/admin/{path}", data, headers)
 
 
@@ -110,6 +111,8 @@
         ("POST", "presets/peak/set", {"id": "a b"}, ResultCode.BAD_FIELD),
         ("POST", "presets/peak/set", {"version": "1"}, ResultCode.BAD_BODY),
         ("POST", "presets/peak/set", {"author": "bo"}, ResultCode.BAD_BODY),
+        ("POST", "presets/peak/set", {"version": 2**70}, ResultCode.BAD_BODY),
+        ("PUT", "quotas/crew", {"quota": {"max_waiting": 2**70}}, ResultCode.BAD_BODY),
         ("POST", "presets/none/set", {}, ResultCode.NOT_FOUND),
         ("PUT", "quotas/crew", {"quota": {"weight": -1}}, ResultCode.BAD_FIELD),
         ("POST", "hosts/h-9/remove", {}, ResultCode.NOT_FOUND),
