Hold out against odd lines of endpoints

Seen: a reply to an adoption or a line of results that can't be decoded ends the dispatcher, and its next one too.

Cause: errors of the decoder were caught nowhere; a value was not checked, though payloads are.

What can't be decoded counts as no reply: it is logged, the endpoint counts as unreachable, and is asked again. A value is held to the limits of payloads; a result with another one has failed.

--- a/currantwell/endpoint_link.py
+++ b/currantwell/endpoint_link.py
@@ -13,6 +13,9 @@
 import msgspec
 import trio
 
+from . import events
+from .codes import ResultCode
+from .decoding import decode
 from .endpoint_protocol import (
     AdoptReply,
     AdoptRequest,
@@ -26,10 +29,17 @@
     StartReply,
     StartStreamLine,
 )
-from .errors import Deposed, EndpointUnreachable, StreamRefused
+from .errors import (
+    Deposed,
+    EndpointUnreachable,
+    InvalidRequest,
+    MessageMalformed,
+    StreamRefused,
+)
 from .http_client import HttpClient
 from .ids import EndpointId, Epoch, Incarnation
 from .link import LinkHandler
+from .submission import check_payload
 
 __all__ = ["EndpointLink"]
 
@@ -131,9 +141,13 @@
                 continue
             self._check_status(reply.status)
             if reply.status == 200:
-                adopted = _adopt_reply_decoder.decode(reply.body)
-                await self._handler.held_attempts_received(self.endpoint, adopted)
-                return
+                try:
+                    adopted = decode(_adopt_reply_decoder, reply.body)
+                except MessageMalformed as error:
+                    self._note_malformed(error)
+                else:
+                    await self._handler.held_attempts_received(self.endpoint, adopted)
+                    return
             await trio.sleep(RETRY_PAUSE_S)
 
     def _check_status(self, status: int) -> None:
@@ -219,15 +233,22 @@
                 self._check_status(error.status)
             except EndpointUnreachable:
                 self._handler.endpoint_reachability_changed(self.endpoint, False)
+            except MessageMalformed as error:
+                self._note_malformed(error)
             await trio.sleep(RETRY_PAUSE_S)
 
+    def _note_malformed(self, error: MessageMalformed) -> None:
+        """Count the endpoint as unreachable until it sends what can be decoded."""
+        events.REQUEST_MALFORMED.log(endpoint=self.endpoint, error=str(error))
+        self._handler.endpoint_reachability_changed(self.endpoint, False)
+
     async def _receive(self, pieces: AsyncIterator[bytes]) -> None:
         rest = b""
         async for piece in pieces:
             self._handler.endpoint_reachability_changed(self.endpoint, True)
             *lines, rest = (rest + piece).split(b"\n")
             await self._process_lines(
-                [_line_decoder.decode(line) for line in lines if line]
+                [decode(_line_decoder, line) for line in lines if line]
             )
 
     async def _process_lines(self, lines: Sequence[ResultStreamLine]) -> None:
@@ -236,7 +257,7 @@
         for line in lines:
             match line:
                 case ResultLine() if line.seq > self._acked_seq:
-                    results.append(line)
+                    results.append(_storable(line))
                 case StartReply():
                     await self._process_reply(line)
                 case Heartbeat():
@@ -266,5 +287,16 @@
             self._send_ready.set()
 
 
+def _storable(line: ResultLine) -> ResultLine:
+    """Return a result; without its value, as failed, if that can't be stored."""
+    try:
+        check_payload("value", line.value)
+    except InvalidRequest as error:
+        return msgspec.structs.replace(
+            line, code=ResultCode.TASK_FAILED, value=str(error)
+        )
+    return line
+
+
 def _encode_line(message: StartStreamLine) -> bytes:
     return _encoder.encode(message) + b"\n"
--- a/currantwell/submission.py
+++ b/currantwell/submission.py
@@ -25,6 +25,7 @@
     "SingleRequest",
     "Submission",
     "TaskSpec",
+    "check_payload",
     "check_submission",
     "decode_single_request",
     "decode_submission",
@@ -176,8 +177,14 @@
         raise InvalidRequest(field, f"{value} is not between {low} and {high}")
 
 
-def _check_payload(field: str, payload: Any) -> None:
-    """Check that a payload can be stored: its depth and the size of its integers."""
+def check_payload(field: str, payload: Any) -> None:
+    """Check that a payload can be stored: its depth and the size of its integers.
+
+    Raises
+    ------
+    InvalidRequest
+        If it can't be.
+    """
     level, depth = [payload], 0
     while level:
         depth += 1
@@ -205,7 +212,7 @@
         if getattr(task, field) is not None:
             check_name(f"{prefix}.{field}", getattr(task, field))
     _check_range(f"{prefix}.max_per_endpoint", task.max_per_endpoint, 0, MAX_TASKS)
-    _check_payload(f"{prefix}.payload", task.payload)
+    check_payload(f"{prefix}.payload", task.payload)
     if task.run_time_s is not None:
         _check_range(f"{prefix}.run_time_s", task.run_time_s, 0.0, MAX_DEADLINE_S)
     _check_range(f"{prefix}.max_failures", task.max_failures, 1, MAX_FAILURES)
