--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -16,7 +16,13 @@
 from ..errors import AgreementLost
 from ..ids import EndpointId, HostId
 from ..kernel import ServiceName
-from .channel import Channel, accept_channel, encode, open_channel
+from .channel import (
+    Channel,
+    accept_channel,
+    encode,
+    open_channel,
+    usable_addresses,
+)
 from .configuration_transfer import ConfigurationHistory
 from .drain_confirmations import DrainConfirmations
 from .endpoint_registry import EndpointRegistry, HintStore
@@ -263,7 +269,8 @@
             case EndpointReports(reports):
                 self._process_reports(channel, reports)
             case ControlHostsUpdate(addresses):
-                self._control_addresses.update(set(addresses) - {self._hello.address})
+                self._control_addresses |= usable_addresses(addresses)
+                self._control_addresses.discard(self._hello.address)
             case EndpointHeartbeats(endpoints):
                 self._registry.record_heartbeats(endpoints, now_s())
             case EndpointsLeft(endpoints):
@@ -314,7 +321,8 @@
         if seen is None or seen.hello.incarnation != message.incarnation:
             seen = self._liveness[message.host] = HostLiveness(message, now, now)
         seen.hello, seen.last_seen_s = message, now
-        if not message.dispatches and message.address not in self._control_addresses:
+        known = message.address in self._control_addresses
+        if not message.dispatches and not known and usable_addresses([message.address]):
             self._control_addresses.add(message.address)
             self._broadcast(self._control_hosts())
         self._note_hosts_change()
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -14,9 +14,9 @@
 from ..clock import now_s
 from ..ids import EndpointId, HostId
 from ..kernel import ServiceName
-from .channel import PING_INTERVAL_S, Channel, open_channel
+from .channel import PING_INTERVAL_S, Channel, open_channel, usable_addresses
 from .configuration_transfer import ConfigurationFetch
-from .endpoint_registry import RemovedReports
+from .endpoint_registry import RemovedReports, is_usable
 from .fleet_state import Ownership
 from .groups import EndpointGroup
 from .messages import (
@@ -139,7 +139,7 @@
 
     def add_control_addresses(self, addresses: Iterable[str]) -> None:
         """Connect to further control hosts too."""
-        self._control_addresses.update(addresses)
+        self._control_addresses |= usable_addresses(addresses)
         self._addresses_changed.set()
 
     def set_dispatching(self, dispatching: bool) -> None:
@@ -245,10 +245,13 @@
     def _record_report(self, report: EndpointReport) -> None:
         endpoint = report.announcement.endpoint
         record = self.endpoints.get(endpoint)
+        if record is not None and report.sort_key() <= record.report.sort_key():
+            return
+        if not is_usable(report):
+            return
         if record is None:
             report = self._removed.take_latest(report)
-        if record is None or report.sort_key() > record.report.sort_key():
-            self.endpoints[endpoint] = EndpointRecord(report, now_s())
+        self.endpoints[endpoint] = EndpointRecord(report, now_s())
 
     async def _fetch_loop(self) -> None:
         """Begin to fetch the configuration whenever a newer version is announced."""
--- a/tests/fleet/test_control_service.py
+++ b/tests/fleet/test_control_service.py
@@ -1,5 +1,6 @@
 """The control service passes on what it knows, whatever its disk does."""
 
+import msgspec
 import pytest
 import trio
 
@@ -21,7 +22,11 @@
     SetOwner,
     encode_command,
 )
-from currantwell.fleet.messages import EndpointHeartbeats
+from currantwell.fleet.messages import (
+    ControlHostsUpdate,
+    EndpointHeartbeats,
+    EndpointReports,
+)
 from currantwell.fleet.ownership import OwnershipRule
 from tests.fleet.builders import a_configuration, a_hello, a_report, an_ownership
 
@@ -158,3 +163,24 @@
     await trio.sleep(0.1)
     assert len(channel.sent) == 2
     assert sent_bytes(channel) < 300
+
+
+ODD_ADDRESSES = ["127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1", "", "a\nb:1"]
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+async def test_an_address_that_can_not_be_used_is_neither_tried_nor_passed_on(address):
+    """It ended this host, and each host that it was passed on to."""
+    service, channel = a_service(MemoryHintStore())
+    hello = msgspec.structs.replace(a_hello(dispatches=False), address=address)
+    service._process(channel, hello)
+    service._process(channel, ControlHostsUpdate((address, "127.0.0.1:7002")))
+    assert service._control_addresses == {"127.0.0.1:7002"}
+    assert channel.sent == []
+
+
+async def test_an_odd_report_of_another_host_leaves_the_others():
+    service, channel = a_service(MemoryHintStore())
+    odd = a_report("odd", url="http://127.0.0.1:99999")
+    service._process(channel, EndpointReports((odd, a_report())))
+    assert list(service._registry.reports) == [a_report()]
