--- a/tests/fleet/test_report_delivery.py
+++ b/tests/fleet/test_report_delivery.py
@@ -157,3 +157,16 @@
     network.connect(0, 1)
     network.services[0].heartbeat(a_report(sequence=8, draining=True))
     assert await post_heartbeat(network.services[0], 8) == 200
+
+
+async def test_a_drain_whose_confirmations_were_lost_is_confirmed_again(network):
+    """To the other control hosts the next heartbeat is no news."""
+    await post_heartbeat(network.services[0], 1, b"ready")
+    await trio.sleep(1.0)
+    inbound = [link for (_, far), link in network.links.items() if far == 0]
+    for link in inbound:
+        link.silent = True
+    assert await post_heartbeat(network.services[0], 2) == 503
+    for link in inbound:
+        link.silent = False
+    assert await post_heartbeat(network.services[0], 3) == 200
