--- a/tests/fleet/test_report_delivery.py
+++ b/tests/fleet/test_report_delivery.py
@@ -20,7 +20,7 @@
 
 
 @pytest.fixture
-def network(nursery, autojump_clock):
+def network(nursery):
     return ReportNetwork(nursery, CONTROL_HOSTS)
 
 
@@ -41,7 +41,9 @@
     return statuses[0]
 
 
-async def test_a_drain_reaches_an_entry_host_past_a_silent_channel(network):
+async def test_a_drain_reaches_an_entry_host_past_a_silent_channel(
+    network, autojump_clock
+):
     entry = network.add_entry_host()
     assert await post_heartbeat(network.services[0], 1, b"ready") == 200
     await trio.sleep(1.0)
@@ -52,7 +54,9 @@
     assert entry.draining()
 
 
-async def test_a_drain_outlasts_the_control_host_that_acknowledged_it(network):
+async def test_a_drain_outlasts_the_control_host_that_acknowledged_it(
+    network, autojump_clock
+):
     entry = network.add_entry_host()
     await post_heartbeat(network.services[0], 1, b"ready")
     await trio.sleep(1.0)
@@ -62,7 +66,9 @@
     assert entry.draining()
 
 
-async def test_a_drain_reaches_entry_hosts_of_a_control_host_that_was_cut_off(network):
+async def test_a_drain_reaches_entry_hosts_of_a_control_host_that_was_cut_off(
+    network, autojump_clock
+):
     """Its entry hosts may not have reached the other control hosts again yet."""
     await post_heartbeat(network.services[0], 1, b"ready")
     entry = network.add_entry_host(7)
@@ -77,7 +83,7 @@
 
 
 async def test_an_endpoint_that_an_entry_host_forgot_comes_back_as_last_reported(
-    network,
+    network, autojump_clock
 ):
     """The control host that it reconnects to may be behind."""
     await post_heartbeat(network.services[0], 1, b"ready")
@@ -93,7 +99,9 @@
     assert entry.draining()
 
 
-async def test_a_forgotten_endpoint_is_not_passed_on_as_it_was_before(network):
+async def test_a_forgotten_endpoint_is_not_passed_on_as_it_was_before(
+    network, autojump_clock
+):
     """A control host that forgot it may be the only one that a new host reaches."""
     await post_heartbeat(network.services[0], 1, b"ready")
     await trio.sleep(1.0)
@@ -109,7 +117,7 @@
     assert entry.draining()
 
 
-async def test_an_acknowledged_drain_costs_few_bytes(network):
+async def test_an_acknowledged_drain_costs_few_bytes(network, autojump_clock):
     """A link at rest carries 8 KB a second for control; drains are rare there."""
     entry = network.add_entry_host()
     await post_heartbeat(network.services[0], 1, b"ready")
@@ -128,7 +136,9 @@
     assert received_bytes - bytes_before <= CONTROL_HOSTS * 400
 
 
-async def test_a_drain_that_no_other_control_host_confirms_is_not_acknowledged(network):
+async def test_a_drain_that_no_other_control_host_confirms_is_not_acknowledged(
+    network, autojump_clock
+):
     """Its endpoint asks another control host, and this one again once it is back."""
     await post_heartbeat(network.services[0], 1, b"ready")
     await trio.sleep(1.0)
@@ -147,7 +157,9 @@
     assert await post_heartbeat(network.services[0], 1) == 200
 
 
-async def test_a_drain_is_confirmed_though_another_host_has_a_later_report(network):
+async def test_a_drain_is_confirmed_though_another_host_has_a_later_report(
+    network, autojump_clock
+):
     """Heartbeats of an endpoint that changes its control host may overtake."""
     await post_heartbeat(network.services[0], 1, b"ready")
     await trio.sleep(1.0)
@@ -159,7 +171,9 @@
     assert await post_heartbeat(network.services[0], 8) == 200
 
 
-async def test_a_drain_whose_confirmations_were_lost_is_confirmed_again(network):
+async def test_a_drain_whose_confirmations_were_lost_is_confirmed_again(
+    network, autojump_clock
+):
     """To the other control hosts the next heartbeat is no news."""
     await post_heartbeat(network.services[0], 1, b"ready")
     await trio.sleep(1.0)
