Count the bytes between hosts by kind of message, and show the largest queue

Cause: nothing that a host serves told that configurations filled the links of small entry hosts.

The kind is read from the encoded message, as broadcasts are encoded once. With the counting of received bytes and of the bytes being written taken out, both new tests of test_channel.py fail. What the counting costs a message was not measured.

--- a/currantwell/fleet/channel.py
+++ b/currantwell/fleet/channel.py
@@ -8,6 +8,7 @@
 disconnects: the loss of a killed host has to be noticed at once.
 """
 
+import collections
 import math
 from collections.abc import AsyncIterator
 from contextlib import suppress
@@ -20,7 +21,15 @@
 from .keepalive import Keepalive
 from .messages import Message, Ping
 
-__all__ = ["PING_INTERVAL_S", "Channel", "accept_channel", "encode", "open_channel"]
+__all__ = [
+    "PING_INTERVAL_S",
+    "Channel",
+    "ChannelTraffic",
+    "accept_channel",
+    "encode",
+    "open_channel",
+    "traffic",
+]
 
 # Interval while the other end relies on the pings. Each ping wakes up both ends.
 PING_INTERVAL_S = 0.19
@@ -39,11 +48,47 @@
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 RECEIVE_BYTES = 64 * 1024
 LENGTH_BYTES = 4
+# A message is a map of fewer than 16 fields; its tag comes first and has fewer than 32
+# characters.
+TAG_KEY = slice(1, 6)
+TAG_AT = 6
+TAG_LENGTH_MASK = 0x1F
 
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
 
+class ChannelTraffic:
+    """What the channels of this process have carried.
+
+    Attributes
+    ----------
+    sent_bytes, received_bytes : Counter
+        Bytes of frames by the tag of their message. A frame counts as sent once it is
+        written or queued.
+    """
+
+    def __init__(self) -> None:
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
+        self.received_bytes: collections.Counter[str] = collections.Counter()
+        self._channels: set[Channel] = set()
+
+    def add(self, channel: "Channel") -> None:
+        """Include the queue of a channel from now on."""
+        self._channels.add(channel)
+
+    def remove(self, channel: "Channel") -> None:
+        """Leave out the queue of a channel."""
+        self._channels.discard(channel)
+
+    def largest_unsent_bytes(self) -> int:
+        """Return the bytes that the most loaded open channel has yet to send."""
+        return max((each.unsent_bytes for each in self._channels), default=0)
+
+
+traffic = ChannelTraffic()
+
+
 class Channel:
     """One end of a connection.
 
@@ -72,12 +117,21 @@
         self._silence_s = SILENCE_TIMEOUT_S
         self._received_s = math.inf
         self._sending = False
+        self._sending_bytes = 0
         self._unsent = bytearray()
         self._unsent_added = trio.Event()
         self._keepalive: Keepalive | None = None
         self._scope = trio.CancelScope()
         self.closed = False
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that the kernel has not accepted.
+
+        What is being written counts until all of it is accepted.
+        """
+        return self._sending_bytes + len(self._unsent)
+
     def send(self, message: Message) -> None:
         """Queue a message; it is lost if the channel closes before it is written."""
         if not self.closed:
@@ -117,6 +171,7 @@
                 buffer += data
                 for frame in _take_frames(buffer):
                     message = _decoder.decode(frame)
+                    traffic.received_bytes[_tag(frame)] += LENGTH_BYTES + len(frame)
                     if isinstance(message, Ping):
                         self._expect_message_within(message.next_s)
                     else:
@@ -132,6 +187,7 @@
         """Keep the channel alive and send queued messages until it closes."""
         self._keepalive = Keepalive.current()
         self._keepalive.add(self)
+        traffic.add(self)
         try:
             with self._scope:
                 await self._send_loop()
@@ -140,6 +196,7 @@
         finally:
             self.closed = True
             self._keepalive.remove(self)
+            traffic.remove(self)
             with trio.CancelScope(shield=True), suppress(OSError):
                 await trio.aclose_forcefully(self._stream)
 
@@ -149,8 +206,10 @@
             while self._unsent:
                 data, self._unsent = self._unsent, bytearray()
                 self._sending = True
+                self._sending_bytes = len(data)
                 await self._stream.send_all(data)
                 self._sending = False
+                self._sending_bytes = 0
             self._unsent_added = trio.Event()
             await self._unsent_added.wait()
 
@@ -205,6 +264,7 @@
     def _write(self, body: bytes) -> None:
         """Write a message as far as the kernel accepts it, and queue the rest."""
         frame = len(body).to_bytes(LENGTH_BYTES, "big") + body
+        traffic.sent_bytes[_tag(body)] += len(frame)
         self._sent_s = now_s()
         self._sent_ping = False
         sent = 0
@@ -229,6 +289,14 @@
     return Channel(DirectStream.taken_from(stream), ping_s)
 
 
+def _tag(body: bytes) -> str:
+    """Return the tag of an encoded message without decoding the rest of it."""
+    if body[TAG_KEY] != b"\xa4type":
+        return "other"
+    length = body[TAG_AT] & TAG_LENGTH_MASK
+    return body[TAG_AT + 1 : TAG_AT + 1 + length].decode()
+
+
 def _take_frames(buffer: bytearray) -> list[bytes]:
     """Remove and return the complete frames at the start of a buffer."""
     frames = []
--- a/currantwell/metrics.py
+++ b/currantwell/metrics.py
@@ -7,7 +7,7 @@
 import collections
 import dataclasses
 import enum
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Protocol
 
 import trio
@@ -126,11 +126,22 @@
         self._answers: collections.Counter[str] = collections.Counter()
         self._late_attempts: collections.Counter[str] = collections.Counter()
         self._gauges: dict[str, tuple[str, Callable[[], int]]] = {}
+        self._counters: dict[str, tuple[str, str, Callable[[], Mapping[str, int]]]] = {}
 
     def add_gauge(self, name: str, meaning: str, value: Callable[[], int]) -> None:
         """Add a gauge whose value is read whenever the metrics are."""
         self._gauges[name] = (meaning, value)
 
+    def add_counters(
+        self,
+        name: str,
+        meaning: str,
+        label: str,
+        values: Callable[[], Mapping[str, int]],
+    ) -> None:
+        """Add a counter for each value of a label, read whenever the metrics are."""
+        self._counters[name] = (meaning, label, values)
+
     def observe(self, timing: Timing, time_s: float) -> None:
         """Add a duration, in seconds."""
         self._series[timing].observe(time_s)
@@ -171,6 +182,12 @@
             f'currantwell_late_attempts_total{{decision="{decision}"}} {count}'
             for decision, count in sorted(self._late_attempts.items())
         )
+        for name, (meaning, label, values) in self._counters.items():
+            lines.extend(_heading(name, "counter", meaning))
+            lines.extend(
+                f'currantwell_{name}{{{label}="{kind}"}} {count}'
+                for kind, count in sorted(values().items())
+            )
         gauges = tuple(
             (name, "gauge", meaning, value())
             for name, (meaning, value) in self._gauges.items()
--- a/tests/fleet/test_channel.py
+++ b/tests/fleet/test_channel.py
@@ -17,9 +17,15 @@
     accept_channel,
     encode,
     open_channel,
+    traffic,
 )
-from currantwell.fleet.messages import CancelJob, ConfigurationUpdate, Ping
-from tests.fleet.builders import a_configuration
+from currantwell.fleet.messages import (
+    CancelJob,
+    ConfigurationUpdate,
+    OwnershipsUpdate,
+    Ping,
+)
+from tests.fleet.builders import a_configuration, an_ownership
 from tests.step_counter import StepCounter
 
 
@@ -237,6 +243,46 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_traffic_is_counted_by_kind_of_message(nursery):
+    near, far = await connected(nursery)
+    received = []
+    nursery.start_soon(receive, far, received)
+    before_sent, before_received = (
+        traffic.sent_bytes.copy(),
+        traffic.received_bytes.copy(),
+    )
+    sent = [CancelJob(1), OwnershipsUpdate((an_ownership(),))]
+    for message in sent:
+        near.send(message)
+    while len(received) < len(sent):
+        await trio.sleep(0.001)
+    for counted in (
+        traffic.sent_bytes - before_sent,
+        traffic.received_bytes - before_received,
+    ):
+        assert counted["cancel"] == 4 + len(encode(sent[0]))
+        assert counted["ownerships"] == 4 + len(encode(sent[1]))
+    nursery.cancel_scope.cancel()
+
+
+async def test_the_largest_queue_of_all_channels_is_known(nursery):
+    channel, peer = await connected_to_socket(nursery)
+    await connected_to_socket(nursery)
+    assert traffic.largest_unsent_bytes() == 0
+    bytes_before = traffic.sent_bytes.total()
+    # More than the kernel's buffers hold.
+    for _ in range(1_000):
+        channel.send(OwnershipsUpdate((an_ownership(),) * 1_000))
+        if traffic.largest_unsent_bytes():
+            break
+    queued_bytes = traffic.largest_unsent_bytes()
+    assert 0 < queued_bytes < traffic.sent_bytes.total() - bytes_before
+    await trio.testing.wait_all_tasks_blocked()
+    assert traffic.largest_unsent_bytes() == queued_bytes
+    peer.close()
+    nursery.cancel_scope.cancel()
+
+
 async def test_what_arrived_before_the_silence_was_noticed_keeps_a_channel_open(
     nursery,
 ):
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -44,6 +44,15 @@
     assert value(metrics, "agreement_hears_leader") == 0
 
 
+def test_counters_with_a_label_are_read_whenever_the_metrics_are():
+    metrics = Metrics()
+    counts = {"ping": 3}
+    metrics.add_counters("sent_total", "Sent by kind.", "kind", lambda: counts)
+    assert value(metrics, 'sent_total{kind="ping"}') == 3
+    counts["ping"] = 5
+    assert value(metrics, 'sent_total{kind="ping"}') == 5
+
+
 def test_quantiles_exclude_values_older_than_two_windows():
     metrics = Metrics()
     for time_s in (1.0, 1e9, 0.0):
