Use parts of a configuration that come late, from any host that was asked

Found by the reviewer of the transfer, not seen by callers. Two more of the same review: the late first part of an earlier request ended the next transfer, and a transfer that yields nothing newer counted as a success, so that the same host was asked again each 20 ms.

Cause: a transfer belonged to one host, and its bytes went with it.

Change: a timeout asks a further host for the next part and keeps what has arrived; the first reply that fits the position counts, whoever sent it. A control host serves a part of any two versions that it keeps. Parts of nothing newer are ignored.

--- a/currantwell/fleet/configuration_transfer.py
+++ b/currantwell/fleet/configuration_transfer.py
@@ -8,8 +8,8 @@
 No I/O and no clock: the caller passes in messages and the current time, and sends the
 messages that come back.
 
-Invariants: the version held never decreases; there is one request under way at a time;
-a configuration is used only once it has arrived as a whole.
+Invariants: the version held never decreases; a control host is asked for one part at a
+time; a configuration is used only once it has arrived as a whole.
 """
 
 import dataclasses
@@ -21,6 +21,8 @@
 import msgspec
 
 from .. import events
+from ..decoding import decode
+from ..errors import MessageMalformed
 from .messages import (
     ConfigurationAnnouncement,
     ConfigurationPart,
@@ -36,8 +38,8 @@
     "changes_between",
 ]
 
-# 14 ms on a link of 9.5 Mbit/s, for which other messages may have to wait.
-PART_BYTES = 16 * 1024
+# 28 ms on a link of 9.5 Mbit/s, for which other messages may have to wait.
+PART_BYTES = 32 * 1024
 # Hosts that hold one of these versions are sent changes, others all routes.
 KEPT_VERSIONS = 4
 KEPT_TRANSFERS = 8
@@ -48,10 +50,10 @@
 COMPRESSION_LEVEL = 1
 # By then the control hosts of the same data centre have applied the version too.
 GATHER_S = 0.02
-# A part takes a few round trips and 14 ms on the slowest link.
+# Then another control host is asked too; a part that comes later is still used.
 FIRST_TIMEOUT_S = 0.4
-# The timeout doubles up to this one, so that a transfer gets through on a link that is
-# busy with other traffic.
+# The timeout doubles up to this one, so that a link that is busy with other traffic
+# does not carry ever more requests.
 MAX_TIMEOUT_S = 1.6
 
 Peer = TypeVar("Peer", bound=Hashable)
@@ -153,13 +155,13 @@
     def part(self, request: ConfigurationRequest) -> ConfigurationPart:
         """Return the requested part.
 
-        The first part of a transfer to the newest version if the request is for the
-        newest one, or for a transfer that is no longer kept.
+        The first part of a transfer to the newest version if the request begins one, or
+        names versions that are not kept.
         """
-        base = request.held if request.held in self._versions else 0
         key = (request.base, request.version)
         offset = request.offset
-        if offset <= 0 or key not in self._transfers:
+        if offset <= 0 or not self._versions.keys() >= set(key):
+            base = request.held if request.held in self._versions else 0
             key = (base, self._newest.version)
             offset = 0
         transfer = self._transfer(key)
@@ -185,9 +187,13 @@
 
 @dataclasses.dataclass(slots=True)
 class _Transfer(Generic[Peer]):
-    """A transfer under way; ``version`` is 0 until the first part has arrived."""
+    """A transfer under way; ``version`` is 0 until the first part has arrived.
+
+    ``peer`` was asked last, until ``deadline_s``; all of ``asked`` may still reply.
+    """
 
     peer: Peer
+    asked: set[Peer]
     deadline_s: float
     base: int = 0
     version: int = 0
@@ -259,12 +265,18 @@
         due_s = self.due_s(now_s)
         if due_s is None or now_s < due_s:
             return None
-        if self._transfer is not None:
-            self._give_up(self._transfer, "no reply")
+        transfer = self._transfer
+        if transfer is not None:
+            self._note_failure(transfer, transfer.peer, "no reply")
         peer = self._choose()
         self._start_s = None
-        self._transfer = _Transfer(peer, now_s + self._timeout_s)
-        return peer, ConfigurationRequest(self.configuration.version)
+        deadline_s = now_s + self._timeout_s
+        if transfer is None:
+            transfer = self._transfer = _Transfer(peer, {peer}, deadline_s)
+        else:
+            transfer.peer, transfer.deadline_s = peer, deadline_s
+            transfer.asked.add(peer)
+        return peer, self._request(transfer)
 
     def receive(
         self, peer: Peer, part: ConfigurationPart, now_s: float
@@ -274,49 +286,55 @@
         `configuration` has changed if it was the last part.
         """
         transfer = self._transfer
-        if transfer is None or transfer.peer != peer:
+        if transfer is None or peer not in transfer.asked:
             return None
-        if part.offset == 0:
+        if part.offset == 0 and part.version > transfer.version:
+            if part.base not in (0, self.configuration.version):
+                return None
+            if part.version <= self.configuration.version:
+                return None
             transfer.base, transfer.version = part.base, part.version
             transfer.data.clear()
-        if (part.base, part.version, part.offset) != (
-            transfer.base,
-            transfer.version,
-            len(transfer.data),
-        ):
+        position = (transfer.base, transfer.version, len(transfer.data))
+        if (part.base, part.version, part.offset) != position:
             return None
         transfer.data += part.data
         if part.data and len(transfer.data) < part.total <= MAX_TRANSFER_BYTES:
-            transfer.deadline_s = now_s + self._timeout_s
-            return ConfigurationRequest(
-                self.configuration.version,
-                part.base,
-                part.version,
-                len(transfer.data),
-            )
-        self._finish(transfer, part.total, now_s)
+            transfer.peer, transfer.deadline_s = peer, now_s + self._timeout_s
+            return self._request(transfer)
+        self._finish(transfer, peer, part.total, now_s)
         return None
 
+    def _request(self, transfer: _Transfer[Peer]) -> ConfigurationRequest:
+        """Return the request for the next part of a transfer."""
+        return ConfigurationRequest(
+            self.configuration.version,
+            transfer.base,
+            transfer.version,
+            len(transfer.data),
+        )
+
     def _finish(
-        self, transfer: _Transfer[Peer], total_bytes: int, now_s: float
+        self, transfer: _Transfer[Peer], peer: Peer, total_bytes: int, now_s: float
     ) -> None:
         """Use a transfer; one that can't be used is requested again after a pause."""
+        self._transfer = None
         try:
             if len(transfer.data) != total_bytes:
                 raise ValueError(f"{len(transfer.data)} of {total_bytes} bytes")
             changes = _decode(bytes(transfer.data))
             configuration = apply_changes(self.configuration, changes)
-        except (ValueError, zlib.error, msgspec.MsgspecError, RecursionError) as error:
-            self._give_up(transfer, str(error))
+            if configuration.version != transfer.version:
+                raise ValueError(f"version {configuration.version}")
+        except (ValueError, zlib.error, MessageMalformed) as error:
+            self._note_failure(transfer, peer, str(error))
             self._start_s = now_s + self._timeout_s
             return
-        self._transfer = None
         self._timeout_s = FIRST_TIMEOUT_S
         self._unresponsive.clear()
-        if configuration.version > self.configuration.version:
-            self.configuration = configuration
+        self.configuration = configuration
 
-    def _give_up(self, transfer: _Transfer[Peer], reason: str) -> None:
+    def _note_failure(self, transfer: _Transfer[Peer], peer: Peer, reason: str) -> None:
         events.CONFIGURATION_TRANSFER_FAILED.log(
             held=self.configuration.version,
             newest=self.newest_version(),
@@ -324,9 +342,8 @@
             timeout_s=self._timeout_s,
             reason=reason,
         )
-        self._unresponsive.add(transfer.peer)
+        self._unresponsive.add(peer)
         self._timeout_s = min(2 * self._timeout_s, MAX_TIMEOUT_S)
-        self._transfer = None
 
     def _choose(self) -> Peer:
         """Return a control host that has the newest version, preferably a near one."""
@@ -351,7 +368,7 @@
     decoded = decompressor.decompress(data, MAX_DECODED_BYTES)
     if not decompressor.eof:
         raise ValueError("the transfer is truncated or too large")
-    return _decoder.decode(decoded)
+    return decode(_decoder, decoded)
 
 
 def _route_key(route: Route) -> RouteKey:
--- a/tests/fleet/test_configuration_transfer.py
+++ b/tests/fleet/test_configuration_transfer.py
@@ -16,7 +16,11 @@
     apply_changes,
     changes_between,
 )
-from currantwell.fleet.messages import ConfigurationPart, ConfigurationRequest
+from currantwell.fleet.messages import (
+    ConfigurationAnnouncement,
+    ConfigurationPart,
+    ConfigurationRequest,
+)
 from currantwell.fleet.routes import Configuration, Service
 from tests.fleet.builders import BOARD, a_configuration, a_route, many_routes
 
@@ -242,7 +246,7 @@
 
 def test_parts_of_other_hosts_and_of_earlier_requests_are_ignored():
     fleet = a_fleet(NEAR, FAR)
-    fleet.put(a_configuration(1, *many_routes(4_000)))
+    fleet.put(a_configuration(1, *many_routes(12_000)))
     fleet.now_s = fleet.fetch.due_s(0.0)
     peer, message = fleet.fetch.next_request(fleet.now_s)
     other = FAR if peer == NEAR else NEAR
@@ -279,3 +283,72 @@
     behind.record(a_configuration(1))
     fleet.fetch.add_announcement(FAR, behind.announcement("valdres"))
     assert fleet.fetch.due_s(fleet.now_s) is None
+
+
+def test_a_reply_that_is_later_than_its_timeout_is_used():
+    """Else a link that is busy with other traffic never brings a configuration."""
+    fleet = a_fleet(*range(7))
+    fleet.put(a_configuration(1, *many_routes(4_000)))
+    replies = []
+    while fleet.now_s < 10.0 and not fleet.fetch.configuration.version:
+        request = fleet.fetch.next_request(fleet.now_s)
+        while request is not None or (replies and replies[0][0] <= fleet.now_s):
+            if request is None:
+                _, peer, part = replies.pop(0)
+                message = fleet.fetch.receive(peer, part, fleet.now_s)
+                request = None if message is None else (peer, message)
+                continue
+            peer, message = request
+            part = fleet.histories[peer].part(message)
+            replies.append((fleet.now_s + 1.7, peer, part))
+            request = None
+        fleet.now_s += 0.01
+    assert fleet.fetch.configuration.version == 1
+    assert fleet.now_s < 0.1 + 2 * 1.7
+
+
+def test_a_late_first_part_of_an_earlier_request_does_not_end_the_next_transfer():
+    fleet = a_fleet()
+    fetch, history = fleet.fetch, fleet.histories[NEAR]
+    fleet.put(a_configuration(1))
+    fleet.settle()
+    fleet.put(a_configuration(2, a_route(path_prefix="/b/")))
+    fetch.due_s(1.0)
+    _, first = fetch.next_request(1.1)
+    _, second = fetch.next_request(1.6)
+    early, late = history.part(first), history.part(second)
+    fetch.receive(NEAR, early, 1.65)
+    assert fetch.configuration.version == 2
+    fleet.put(a_configuration(3, a_route(path_prefix="/c/")))
+    fetch.due_s(1.7)
+    _, third = fetch.next_request(1.73)
+    fetch.receive(NEAR, late, 1.74)
+    fetch.receive(NEAR, history.part(third), 1.75)
+    assert fetch.configuration.version == 3
+
+
+def test_a_host_that_announces_more_than_it_serves_is_not_asked_without_pause():
+    fleet = a_fleet(NEAR, FAR)
+    fleet.put(a_configuration(5, *many_routes(1_400)))
+    for peer, zone in ((NEAR, "valdres"), (FAR, "hallingdal")):
+        fleet.fetch.add_announcement(peer, ConfigurationAnnouncement(9, zone))
+    fleet.step()
+    fleet.histories[FAR].record(a_configuration(9))
+    fleet.settle(5)
+    assert fleet.fetch.configuration.version == 9
+    assert len(fleet.requests) < 10
+
+
+def test_a_transfer_goes_on_at_another_host():
+    fleet = a_fleet(NEAR, FAR)
+    fleet.put(a_configuration(1, *many_routes(4_000)))
+    fleet.now_s = fleet.fetch.due_s(0.0)
+    peer, message = fleet.fetch.next_request(fleet.now_s)
+    part = fleet.histories[peer].part(message)
+    assert fleet.fetch.receive(peer, part, fleet.now_s) is not None
+    fleet.silent.add(peer)
+    fleet.settle()
+    assert fleet.fetch.configuration.version == 1
+    other, request = fleet.requests[0]
+    assert other != peer
+    assert request.offset == PART_BYTES
