Do not hide an endpoint whose start time is earlier than that of a removed one

Found by the reviewer: since removed reports are kept, a process under an id that was used before, with an earlier start time (a clock that was set back), stayed hidden behind the kept report, which came back each time. The test failed before in the reviewer's form: known.born_unix_ms was 2000, expected 1900. A kept report now counts only for the same process, which is what it is kept for.

--- a/currantwell/fleet/endpoint_registry.py
+++ b/currantwell/fleet/endpoint_registry.py
@@ -139,8 +139,14 @@
         return self._reports.get(endpoint)
 
     def take_latest(self, report: EndpointReport) -> EndpointReport:
-        """Return the later of a report and the kept one, which is no longer kept."""
+        """Return the later of a report and the kept one, which is no longer kept.
+
+        A kept report of another process counts as over: its start time may be ahead of
+        the one of a later process, and would hide that for good.
+        """
         kept = self._reports.pop(report.announcement.endpoint, report)
+        if kept.born_unix_ms != report.born_unix_ms:
+            return report
         return max(report, kept, key=EndpointReport.sort_key)
 
 
--- a/tests/fleet/test_endpoint_registry.py
+++ b/tests/fleet/test_endpoint_registry.py
@@ -166,3 +166,12 @@
     """It ended the process at each of its starts."""
     await hint.save(b"\x91" * 100_000 + b"\xc0")
     assert not list(a_registry(hint).reports)
+
+
+def test_a_process_that_started_by_an_earlier_clock_is_not_hidden():
+    registry = EndpointRegistry(MemoryHintStore(), 0.0)
+    registry.record_report(a_report(born_unix_ms=2_000, draining=True), 0.0)
+    registry.remove_unresponsive(2 * FORGET_AFTER_S)
+    later = a_report(born_unix_ms=1_900)
+    assert registry.record_report(later, 2 * FORGET_AFTER_S)
+    assert registry.report("e1") == later
