--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -133,11 +133,6 @@
             nursery.start_soon(self._send_updates_loop)
             task_status.started()
 
-    @property
-    def most_unsent_bytes(self) -> int:
-        """Bytes queued for the host that is furthest behind."""
-        return max((channel.unsent_bytes for channel in self._channels), default=0)
-
     async def drain(self) -> None:
         """No-op: this service has no work to finish."""
 
