Refuse early what a late reply could no longer answer

What callers saw: while links were full, 504 at their deadline for jobs that were complete at their dispatchers (16 of 19 whose ends are in the logs), and refusals after 1.45 of 1.55 s.

Cause: an entry host took a reply for as quick as ever, however long the last ones took, and passed on its own deadline as the dispatcher's.

Change: a reply says how long its host had the request; the rest of the time is the delay of the way, each part on one clock. The shortest delay of the last second is taken off the deadline that is passed on; a dispatcher whose replies come too late is not asked, and the job is refused at once if there is no other. Why it works: the delay is measured at each reply, also of those that nobody waits for any more, and ends with the second after the last, so that a group is always tried again.

The stand-in of a dispatcher in the tests says how long it took, as the real one does.

--- a/currantwell/fleet/dispatcher_links.py
+++ b/currantwell/fleet/dispatcher_links.py
@@ -35,6 +35,7 @@
     Message,
     RunJob,
 )
+from .reply_delays import ReplyDelays
 
 __all__ = ["DispatcherLinks"]
 
@@ -94,6 +95,7 @@
         self._remote: dict[str, _RemoteHost] = {}
         self._reports: dict[EndpointGroup, tuple[float, CapacityReport]] = {}
         self._waiters: dict[Channel | None, dict[int, _Waiter]] = {None: {}}
+        self._delays: dict[Channel, ReplyDelays] = {}
         self._last_request = 0
         self._accepted: dict[Channel, HostHello | None] = {}
         self._view_changed = trio.Event()
@@ -161,6 +163,25 @@
             reduced = msgspec.structs.replace(report, free=max(0, report.free - tasks))
             self._reports[group] = (received_s, reduced)
 
+    def delay_s(self, group: EndpointGroup) -> float:
+        """Return how much longer the replies of a dispatcher take than its work."""
+        channel = None if group in self._local else self._channel(group)
+        delays = None if channel is None else self._delays.get(channel)
+        return 0.0 if delays is None else delays.delay_s()
+
+    def late_groups(self, left_s: float) -> set[EndpointGroup]:
+        """Return the groups whose dispatchers' replies take a time or longer."""
+        late = {
+            channel
+            for channel, delays in self._delays.items()
+            if delays.delay_s() >= left_s
+        }
+        if not late:
+            return set()
+        return {
+            group for group in self.capacity_reports() if self._channel(group) in late
+        } - self._local.keys()
+
     async def run_job(self, group: EndpointGroup, submission: Submission) -> JobEnded:
         """Have a dispatcher run a job; cancelling the call cancels the job."""
         self._last_request += 1
@@ -202,6 +223,7 @@
         waiters = self._waiters.setdefault(channel, {})
         waiters[request] = waiter
         channel.ping_every(PING_INTERVAL_S)
+        self._delays[channel].note_request(request)
         channel.send(RunJob(request, group, submission))
         try:
             await waiter.ended.wait()
@@ -271,11 +293,13 @@
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(channel.run)
                     remote.channel = channel
+                    self._delays[channel] = ReplyDelays()
                     try:
                         async for message in channel.messages():
                             self._process(channel, message)
                     finally:
                         remote.channel = None
+                        del self._delays[channel]
                         for waiter in self._waiters.pop(channel, {}).values():
                             waiter.ended.set()
             await trio.sleep(RECONNECT_DELAY_S)
@@ -287,6 +311,7 @@
                 if previous is None or message.epoch >= previous[1].epoch:
                     self._reports[message.group] = (now_s(), message)
             case JobEnded():
+                self._delays[channel].note_reply(message.request, message.elapsed_s)
                 waiter = self._waiters.get(channel, {}).get(message.request)
                 if waiter is not None:
                     waiter.reply = message
@@ -329,12 +354,15 @@
             )
             channel.send(reply)
             return
+        received_s = now_s()
         with trio.CancelScope() as scope:
             scopes[message.request] = scope
             try:
-                channel.send(
-                    await self._run_local(local, message.request, message.submission)
+                reply = await self._run_local(
+                    local, message.request, message.submission
                 )
+                elapsed_s = now_s() - received_s
+                channel.send(msgspec.structs.replace(reply, elapsed_s=elapsed_s))
             finally:
                 del scopes[message.request]
 
--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -202,12 +202,13 @@
         unique = f"{order.id}.{self._nonce}{self._keys}"
         key = JobKey(f"{part.group.data_centre}{KEY_SEPARATOR}{unique}")
         now = now_s()
+        delay_s = self._links.delay_s(part.group)
         return Submission(
             key,
             order.team,
             part.tasks,
-            max(0.001, order.deadline_s - now),
-            max(0.0, order.start_by_s - now),
+            max(0.001, order.deadline_s - now - delay_s),
+            max(0.0, order.start_by_s - now - delay_s),
             order.target_completion_s - now,
             give_up_early=True,
         )
@@ -262,9 +263,10 @@
 
     async def run(self) -> Outcome:
         """Run all parts; the first one that fails cancels the others."""
-        parts = await self._first_parts()
+        parts, late = await self._first_parts()
         if not parts:
-            return JobNotRun("no dispatcher is reached", RETRY_AFTER_S)
+            detail = "replies take too long" if late else "no dispatcher is reached"
+            return JobNotRun(detail, RETRY_AFTER_S)
         self._parts = len(parts)
         self._router.log_routing(self._order, parts)
         if len(parts) == 1:
@@ -277,13 +279,21 @@
                 nursery.start_soon(self._run_part, part, nursery.cancel_scope)
         return self._outcome or JobDone()
 
-    async def _first_parts(self) -> list[_Part]:
-        """Split the job, waiting until its start time limit for a dispatcher."""
-        parts = self._router.split(self._order.tasks)
-        while not parts and now_s() < self._order.start_by_s:
+    async def _first_parts(self) -> tuple[list[_Part], set[EndpointGroup]]:
+        """Split the job, waiting until its start time limit for a dispatcher.
+
+        Returns
+        -------
+        tuple of list and set
+            The parts; and the groups that are not used, since their replies would come
+            too late. While there are any, nothing is waited for.
+        """
+        while True:
+            late = self._links.late_groups(self._order.deadline_s - now_s())
+            parts = self._router.split(self._order.tasks, late)
+            if parts or late or now_s() >= self._order.start_by_s:
+                return parts, late
             await trio.sleep(NO_DISPATCHER_PAUSE_S)
-            parts = self._router.split(self._order.tasks)
-        return parts
 
     async def _run_part(self, part: _Part, scope: trio.CancelScope) -> None:
         """Run a part, sending it again after a refusal or a lost dispatcher."""
@@ -326,13 +336,14 @@
             part = self._reroute(part, unable)
         self._end(outcome, scope)
 
-    def _reroute(self, part: _Part, unable: Container[EndpointGroup]) -> _Part:
+    def _reroute(self, part: _Part, unable: set[EndpointGroup]) -> _Part:
         """Return the part with the dispatcher to send it to next.
 
         A part is not split again: if its tasks would need several dispatchers, it stays
         with its dispatcher unless that one is unable to run it.
         """
-        parts = self._router.split(part.tasks, unable)
+        late = self._links.late_groups(self._order.deadline_s - now_s())
+        parts = self._router.split(part.tasks, late.union(unable))
         if len(parts) == 1:
             return parts[0]
         if parts and part.group in unable:
--- a/currantwell/fleet/messages.py
+++ b/currantwell/fleet/messages.py
@@ -277,12 +277,15 @@
         Explanation for people.
     retry_after_s : float
         Delay after which a refused job may be submitted again, in seconds.
+    elapsed_s : float
+        Time that the dispatcher's host had the request, in seconds.
     """
 
     request: int
     code: ResultCode
     detail: str = ""
     retry_after_s: float = 0.0
+    elapsed_s: float = 0.0
 
 
 class CapacityReport(msgspec.Struct, frozen=True, tag="dispatcher"):
--- a/tests/fleet/test_job_router.py
+++ b/tests/fleet/test_job_router.py
@@ -30,6 +30,7 @@
 
     def __init__(self, **free):
         self.free = free
+        self.delays_s = {}
         self.sent = []
         self.codes = []
         self.cancelled = 0
@@ -43,6 +44,14 @@
             for data_centre, free in self.free.items()
         }
 
+    def delay_s(self, group):
+        return self.delays_s.get(group.data_centre, 0.0)
+
+    def late_groups(self, left_s):
+        return {
+            group for group in self.capacity_reports() if self.delay_s(group) >= left_s
+        }
+
     def reserve_capacity(self, group, tasks):
         self.free[group.data_centre] -= tasks
 
@@ -212,3 +221,10 @@
         if (line := json.loads(record.getMessage()))["name"] == "job_routed"
     ]
     assert (routed["left_s"], routed["longest_s"]) == (1.5, 0.76)
+
+
+async def test_a_job_goes_to_a_dispatcher_whose_reply_comes_in_time(autojump_clock):
+    links = Links(valdres=8, hallingdal=8)
+    links.delays_s["valdres"] = 2.0
+    assert isinstance(await run(links), JobDone)
+    assert [group.data_centre for group, *_ in links.sent] == ["hallingdal"]
--- a/tests/fleet/test_slow_replies.py
+++ b/tests/fleet/test_slow_replies.py
@@ -89,12 +89,14 @@
             await trio.sleep(REPORT_INTERVAL_S)
 
     async def _work(self, message):
+        received_s = trio.current_time()
         run_s = max(task.run_time_s for task in message.submission.tasks)
         in_time = run_s <= message.submission.deadline_s
         await trio.sleep(min(run_s, message.submission.deadline_s))
         self.work_ended_s.append(trio.current_time())
+        elapsed_s = trio.current_time() - received_s
         code = ResultCode.COMPLETE if in_time else ResultCode.DEADLINE_PASSED
-        self._channel.send(JobEnded(message.request, code))
+        self._channel.send(JobEnded(message.request, code, elapsed_s=elapsed_s))
 
 
 @asynccontextmanager
