Test how old a view can get while its connections look open

All connections of an entry host go silent without a reset; the newest configuration and a draining endpoint have to be known within 4 s, from when on the host counts as in contact.

--- a/tests/fleet/slow_link.py
+++ b/tests/fleet/slow_link.py
@@ -83,6 +83,11 @@
             self._added = trio.Event()
             await self._added.wait()
 
+    def silence(self):
+        """Lose all that is sent over the open streams of this machine from now on."""
+        for stream in self.streams:
+            stream.silent = stream.peer.silent = True
+
     def disconnect(self):
         """Close all streams of this machine."""
         for stream in list(self.streams):
@@ -94,6 +99,7 @@
 
     def __init__(self, machine):
         self.machine = machine
+        self.silent = False
         self.peer = None
         self._unsent = bytearray()
         self._on_the_way_bytes = 0
@@ -170,7 +176,7 @@
 
     def _transmit(self):
         while self._unsent and self._on_the_way_bytes < WINDOW_BYTES:
-            if self._ended or self.machine.frozen:
+            if self._ended or self.machine.frozen or self.silent:
                 self._unsent.clear()
                 break
             receiver = self.peer.machine
--- a/tests/fleet/test_configuration_delivery.py
+++ b/tests/fleet/test_configuration_delivery.py
@@ -29,6 +29,8 @@
 DELIVERY_S = 1.0
 MESSAGE_S = 0.2
 FAILOVER_S = 2.0
+# Time after a reset of its connections from which a host has to be up to date again.
+CONTACT_TIMEOUT_S = 4.0
 STORM_INTERVAL_S = 0.33
 STORM_CHANGES = 12
 # Pings, hosts and endpoints for 3 s, and no configuration.
@@ -353,3 +355,19 @@
     await trio.sleep(3.0)
     assert fleet.connected_controls() == CONTROL_HOSTS
     assert fleet.largest_increase(before) <= RECONNECT_BYTES
+
+
+async def test_the_view_is_current_again_after_all_connections_went_silent(fleet):
+    """Nothing else bounds the age of what a host acts on: the connections look open."""
+    first = with_document(1, some_routes(200))
+    await fleet.put_first(first)
+    fleet.entry.silence()
+    silent_s = trio.current_time()
+    changed = one_changed(first)
+    await fleet.put(changed)
+    fleet.services[0].heartbeat(a_report("e1", draining=True))
+    await fleet.in_force(changed.version)
+    while "e1" not in fleet.view.endpoints:
+        await trio.sleep(POLL_S)
+    assert fleet.view.endpoints["e1"].report.announcement.draining
+    assert trio.current_time() - silent_s <= CONTACT_TIMEOUT_S
