Do not let a removed host ask to be a member again

An operator who removed a host within 0.25 s of its joining saw it come back as a voter. The host looked only every 0.25 s whether it was a member yet, and missed that it had been one. Its log now tells whether any membership that it held had listed the member, compacted ones included. Hosts with `target_voters` still join again, as they are meant to. A host that is removed, has compacted its log and is then restarted does not know that it was removed; nothing in the product removes hosts.

Red before, green now: test_a_removed_host_does_not_ask_to_be_a_member_again[0.1]; test_a_removed_host_takes_part_no_more passes with it (the same fault on a slow machine).

--- a/currantwell/consensus_log.py
+++ b/currantwell/consensus_log.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Sequence
 
-from .consensus_messages import Entry, Membership, Snapshot
+from .consensus_messages import Entry, MemberId, Membership, Snapshot
 
 __all__ = ["Log"]
 
@@ -29,6 +29,7 @@
         self._start_term = 0
         self._entries: list[Entry] = []
         self._memberships: list[tuple[int, Membership]] = []
+        self._compacted_members: set[MemberId] = set()
         self._reset(snapshot, entries)
 
     @property
@@ -60,6 +61,13 @@
         """Index of the entry that carries the newest membership."""
         return self._memberships[-1][0] if self._memberships else self.snapshot.index
 
+    def has_listed(self, member: MemberId) -> bool:
+        """Return whether any membership that this log has held includes a member."""
+        held = [self.snapshot.membership, *(held for _, held in self._memberships)]
+        return member in self._compacted_members or any(
+            member in membership.members for membership in held
+        )
+
     def membership_at(self, index: int) -> Membership:
         """Return the membership as of an index that is not before the snapshot's."""
         found = self.snapshot.membership
@@ -107,6 +115,9 @@
         keep_bytes : int
             Total size of their commands, so that fewer are retained if they are large.
         """
+        for index, membership in self._memberships:
+            if index <= snapshot.index:
+                self._compacted_members.update(membership.members)
         self.snapshot = snapshot
         start = max(self._start_index, snapshot.index - keep)
         size_bytes = 0
--- a/currantwell/raft_bootstrap.py
+++ b/currantwell/raft_bootstrap.py
@@ -75,13 +75,23 @@
 
         Without ``target_voters`` no member is replaced; return once this one is in.
         """
-        while self._core.member not in self._core.membership.members:
+        while not self._has_joined():
             if self._can_store():
                 await self._form_or_join()
             await trio.sleep(RETRY_INTERVAL_S)
         if self._target_voters:
             await self._rejoin_loop()
 
+    def _has_joined(self) -> bool:
+        """Return whether nothing is left to ask for.
+
+        Without ``target_voters`` it is enough to have been a member: one that was
+        removed since is not to join again.
+        """
+        if self._target_voters:
+            return self._core.member in self._core.membership.members
+        return self._core.log.has_listed(self._core.member)
+
     async def _form_or_join(self) -> None:
         replies = await self._query_hosts(self._initial_hosts)
         cluster_replies = [reply for reply in replies if reply.cluster is not None]
