Send a large entry once while its reply is outstanding

A command of 1.9 MB went 2, 3 and 5 times to a member whose reply took 0.5, 1.0 and 1.9 s, since a request that is due by time counted the entries in flight as lost, and any reply ended the wait for them. Requests that are due by time now carry no entries while some are in flight. Members reply in order, so only a reply to the round that carried the entries, or to a later one, ends the wait; if it does not cover them they are sent again.

Red before: the three cases of test_a_large_entry_is_sent_once_while_its_reply_is_outstanding and test_a_large_entry_that_was_lost_is_sent_again.

--- a/currantwell/consensus_leader.py
+++ b/currantwell/consensus_leader.py
@@ -79,6 +79,9 @@
         Time of the last request to it.
     entries_in_flight : bool
         Whether entries or a snapshot were sent that it has not acknowledged.
+    entries_round : int
+        Round in which entries or a snapshot were last sent. A reply to this round or a
+        later one ends the wait for them, since members reply in order.
     replied : bool
         Whether it replied to the last request.
     """
@@ -92,6 +95,7 @@
     round: int = 0
     sent_s: float = -1.0e9
     entries_in_flight: bool = False
+    entries_round: int = 0
     replied: bool = True
 
     def next_send_s(self) -> float:
@@ -103,11 +107,10 @@
     def is_request_due(self, now_s: float, last_index: int, commit_index: int) -> bool:
         """Return whether to send the member a request now.
 
-        Once a request is due by time, entries in flight are taken as lost and may be
-        sent again.
+        A request that is due by time carries no entries while some are in flight; the
+        reply to it shows whether they were lost.
         """
         if now_s >= self.next_send_s():
-            self.entries_in_flight = False
             return True
         behind = self.next_index <= last_index or self.sent_commit_index < commit_index
         return behind and not self.entries_in_flight
@@ -235,7 +238,8 @@
             return
         progress.last_reply_s = now_s
         progress.round = max(progress.round, reply.round)
-        progress.entries_in_flight = False
+        if reply.round >= progress.entries_round:
+            progress.entries_in_flight = False
         progress.replied = True
         if reply.ok:
             progress.match_index = max(progress.match_index, reply.match_index)
@@ -310,10 +314,11 @@
         progress.sent_s = now_s
         progress.replied = False
         progress.sent_commit_index = commit_index
-        if previous_term is None:
+        if entries or previous_term is None:
             progress.entries_in_flight = True
+            progress.entries_round = self.round
+        if previous_term is None:
             return InstallRequest(term, self.round, self._log.snapshot)
-        progress.entries_in_flight = progress.entries_in_flight or bool(entries)
         return AppendRequest(
             term, self.round, previous, previous_term, tuple(entries), commit_index
         )
--- a/tests/test_consensus_leader.py
+++ b/tests/test_consensus_leader.py
@@ -5,7 +5,7 @@
 import pytest
 
 from currantwell.consensus_leader import LeaderState, RaftTiming
-from currantwell.consensus_messages import AppendRequest
+from currantwell.consensus_messages import AppendReply, AppendRequest
 
 COMMAND_BYTES = 1_900_000
 
@@ -36,3 +36,21 @@
             if isinstance(request, AppendRequest):
                 sent_bytes += sum(len(entry.command) for entry in request.entries)
     assert sent_bytes <= COMMAND_BYTES
+
+
+def test_a_large_entry_that_was_lost_is_sent_again():
+    """The reply to a later request shows the loss; an earlier one shows nothing."""
+    leader = LeaderState("a", OneEntryLog(), RaftTiming(), 0.0, 1)
+    sent_rounds = []
+    for step in range(300):
+        for member, request in leader.due_requests(1, 0, step / 100):
+            if request.entries:
+                sent_rounds.append(request.round)
+            elif sent_rounds and step < 200:
+                earlier = AppendReply(1, sent_rounds[0] - 1, True, 0)
+                leader.record_reply(member, earlier, step / 100)
+            elif sent_rounds:
+                later = AppendReply(1, request.round, True, 0)
+                leader.record_reply(member, later, step / 100)
+    assert len(sent_rounds) >= 2
+    assert sent_rounds[1] > sent_rounds[0] + 1
