Keep a primary alive when a copy is dropped as its reply arrives

Cancelling the loop that sends to a copy takes effect at its next checkpoint; a reply or an added record that had just arrived let it run on with a copy that was no longer there.

--- a/currantwell/replicated_job_log.py
+++ b/currantwell/replicated_job_log.py
@@ -209,12 +209,14 @@
 
     async def _send_loop(self, host: HostId, scope: trio.CancelScope) -> None:
         with scope:
-            while True:
+            # Cancelling takes effect at the next checkpoint only.
+            while host in self._primary.followers:
                 added = self._added
                 if not self._primary.has_pending(host):
                     with trio.move_on_after(HEARTBEAT_S):
                         await added.wait()
-                await self._send(host)
+                if host in self._primary.followers:
+                    await self._send(host)
 
     async def _send(self, host: HostId) -> None:
         self._check_not_deposed()
--- a/tests/test_replicated_job_log.py
+++ b/tests/test_replicated_job_log.py
@@ -1,5 +1,7 @@
 """The replicated job log over in-memory copies and a network that may lose contact."""
 
+import random
+
 import pytest
 import trio
 
@@ -25,6 +27,7 @@
     def __init__(self):
         self.handlers = {}
         self.unresponsive = False
+        self.on_reply = lambda: None
 
     def handle(self, message, handler):
         self.handlers[message] = handler
@@ -33,7 +36,9 @@
         await trio.sleep(timeout_s if self.unresponsive else 0.001)
         if self.unresponsive:
             raise PeerUnreachable(host)
-        return await self.handlers[type(message)](A, message)
+        answer = await self.handlers[type(message)](A, message)
+        self.on_reply()
+        return answer
 
 
 class Pair:
@@ -123,6 +128,32 @@
     assert not log.second_copy_missing()
 
 
+@pytest.mark.parametrize("seed", range(20))
+async def test_a_copy_may_be_dropped_at_any_moment(nursery, autojump_clock, seed):
+    """Dropping a copy as its reply arrives, or a record is added, ends nothing else."""
+    moment = random.Random(seed)
+    pair = Pair()
+    alone = View(DATA_CENTRE, Epoch(1), A)
+    log = await pair.log(nursery, alone)
+    pair.views = ViewTable(alone)
+
+    def drop_sometimes():
+        if moment.random() < 0.3:
+            log.unfollow(B)
+
+    pair.network.on_reply = drop_sometimes
+    for index in range(20):
+        log.follow(B)
+        nursery.start_soon(log.commit, [accepted(a_submission(str(index)))])
+        await trio.sleep(moment.choice([0.0, 0.001, 0.6]))
+        if moment.random() < 0.5:
+            log.unfollow(B)
+    pair.network.on_reply = lambda: None
+    log.follow(B)
+    while not log.up_to_date(B):
+        await trio.sleep(0.01)
+
+
 async def test_a_restarted_copy_is_the_same_after_compaction(nursery, autojump_clock):
     """Records that arrive while the snapshot is taken must not be lost."""
     journals = {}
