Ask dispatchers for their capacity instead of reporting it to each host

The cost grew with hosts times groups. Now a host with a job asks two dispatchers of its data centre, drawn at random, if what it knows is too old, and a few others if those are full; replies to jobs carry the capacity too, a stopping dispatcher says so, and at rest nothing is sent.

A part that is refused for a long backlog goes to two other dispatchers at most and is then refused at once, in place of knocking every 25 ms until its start limit. Refused callers are told to return one after the other, no faster than jobs complete, in whole seconds rounded up.

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import math
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager, suppress
 
 import trio
@@ -335,10 +335,6 @@
         """Return the free capacity of all endpoints in use."""
         return self._scheduler.free_capacity()
 
-    def notify_capacity_changes(self, callback: Callable[[], None]) -> None:
-        """Have a callback called when the free capacity may have changed."""
-        self._scheduler.on_capacity_change = callback
-
     def is_in_use(self, endpoint: EndpointId, incarnation: Incarnation) -> bool:
         """Return whether this incarnation of an endpoint is in use."""
         return self._roster.is_registered(endpoint, incarnation)
--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -19,7 +19,8 @@
 from ..submission import Submission, TaskSpec
 from .dispatcher_links import DispatcherLinks
 from .groups import EndpointGroup
-from .messages import CapacityReport
+from .messages import CapacityReport, JobEnded
+from .return_schedule import ReturnSchedule
 
 __all__ = [
     "JobDone",
@@ -35,10 +36,12 @@
 LEASE_EXPIRY_WAIT_S = 0.72
 # Shortest delay before a refused client retries; a load peak lasts for seconds.
 RETRY_AFTER_S = 1.0
-# Interval at which a job checks for a dispatcher while there is none.
+# Interval at which a job checks for a dispatcher while there is none, or while its
+# dispatcher is being replaced.
 NO_DISPATCHER_PAUSE_S = 0.02
-# Half of the shortest run time of a task: capacity may be free again by then.
-REFUSED_PAUSE_S = 0.025
+# A job that was refused by so many dispatchers with too long a backlog is refused: each
+# was the best of those drawn at random, and asking on would only cost the others time.
+MAX_OVERLOADED = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,12 +129,19 @@
         self._random = random.Random()
         self._nonce = f"{self._random.getrandbits(24):06x}."
         self._keys = 0
+        self._returns = ReturnSchedule()
 
     async def run(self, order: JobOrder) -> Outcome:
         """Run a job to its end; cancelling the call cancels the job."""
+        outcome: Outcome = JobIncomplete("the deadline passed")
         with trio.move_on_at(order.deadline_s):
-            return await _RunningJob(order, self, self._links).run()
-        return JobIncomplete("the deadline passed")
+            outcome = await _RunningJob(order, self, self._links).run()
+        if isinstance(outcome, JobDone):
+            self._returns.record_completion(now_s())
+        elif isinstance(outcome, JobNotRun):
+            after_s = self._returns.retry_after_s(outcome.retry_after_s, now_s())
+            outcome = dataclasses.replace(outcome, retry_after_s=after_s)
+        return outcome
 
     def split(
         self, tasks: Sequence[TaskSpec], unable: Container[EndpointGroup] = ()
@@ -290,6 +300,7 @@
         """
         while True:
             late = self._links.late_groups(self._order.deadline_s - now_s())
+            await self._links.learn_capacity(len(self._order.tasks), late)
             parts = self._router.split(self._order.tasks, late)
             if parts or late or now_s() >= self._order.start_by_s:
                 return parts, late
@@ -298,7 +309,7 @@
     async def _run_part(self, part: _Part, scope: trio.CancelScope) -> None:
         """Run a part, sending it again after a refusal or a lost dispatcher."""
         outcome: Outcome = JobNotRun("no dispatcher took it", RETRY_AFTER_S)
-        unable: set[EndpointGroup] = set()
+        refused = _Refusals()
         while True:
             reply = await self._links.run_job(
                 part.group, self._router.submission(self._order, part)
@@ -324,31 +335,33 @@
                 wait_s = max(reply.retry_after_s, RETRY_AFTER_S)
                 if not isinstance(outcome, JobIncomplete):
                     outcome = JobNotRun(f"{reply.code.name}: {reply.detail}", wait_s)
-                pause_s = REFUSED_PAUSE_S
-                if reply.code is ResultCode.NOT_RUN_IMPOSSIBLE:
-                    pause_s = 0.0
-                    unable.add(part.group)
-                    if unable.issuperset(self._links.capacity_reports()):
-                        break
-                if now_s() + pause_s >= self._order.start_by_s:
+                pause_s = refused.add(part.group, reply)
+                if now_s() + pause_s >= self._order.start_by_s or refused.is_final(
+                    self._links.dispatcher_groups()
+                ):
                     break
                 await trio.sleep(pause_s)
-            part = self._reroute(part, unable)
+            rerouted = await self._reroute(part, refused)
+            if rerouted is None:
+                break
+            part = rerouted
         self._end(outcome, scope)
 
-    def _reroute(self, part: _Part, unable: set[EndpointGroup]) -> _Part:
-        """Return the part with the dispatcher to send it to next.
+    async def _reroute(self, part: _Part, refused: "_Refusals") -> _Part | None:
+        """Return the part with the dispatcher to send it to next, None if none is left.
 
         A part is not split again: if its tasks would need several dispatchers, it stays
-        with its dispatcher unless that one is unable to run it.
+        with its dispatcher unless that one has refused it.
         """
         late = self._links.late_groups(self._order.deadline_s - now_s())
-        parts = self._router.split(part.tasks, late.union(unable))
+        without = late | refused.unable | refused.overloaded
+        await self._links.learn_capacity(len(part.tasks), without)
+        parts = self._router.split(part.tasks, without)
         if len(parts) == 1:
             return parts[0]
-        if parts and part.group in unable:
-            return _Part(parts[0].group, part.tasks)
-        return part
+        if part.group not in without:
+            return part
+        return _Part(parts[0].group, part.tasks) if parts else None
 
     def _end(self, outcome: Outcome, scope: trio.CancelScope) -> None:
         """Record the outcome of a part that did not complete, and cancel the others.
@@ -362,3 +375,35 @@
         if self._outcome is None:
             self._outcome = outcome
         scope.cancel()
+
+
+class _Refusals:
+    """The dispatchers that have refused a part, and what they refused it for.
+
+    Attributes
+    ----------
+    unable : set of EndpointGroup
+        Groups none of whose endpoints could ever run the part.
+    overloaded : set of EndpointGroup
+        Groups whose backlog is too long.
+    """
+
+    def __init__(self) -> None:
+        self.unable: set[EndpointGroup] = set()
+        self.overloaded: set[EndpointGroup] = set()
+
+    def add(self, group: EndpointGroup, reply: JobEnded) -> float:
+        """Record a refusal; return the pause before the next attempt, in seconds."""
+        if reply.code is ResultCode.NOT_RUN_IMPOSSIBLE:
+            self.unable.add(group)
+            return 0.0
+        if reply.code is ResultCode.NOT_RUN_OVERLOADED:
+            self.overloaded.add(group)
+            return 0.0
+        return NO_DISPATCHER_PAUSE_S
+
+    def is_final(self, groups: set[EndpointGroup]) -> bool:
+        """Return whether no other one of the groups is worth another attempt."""
+        if len(self.overloaded) >= MAX_OVERLOADED:
+            return True
+        return groups <= self.unable | self.overloaded
--- a/currantwell/fleet/local_dispatch.py
+++ b/currantwell/fleet/local_dispatch.py
@@ -62,8 +62,8 @@
     ----------
     serving : bool
         Whether the dispatcher accepts jobs.
-    on_capacity_change : callable
-        Called when `capacity_report` may have changed.
+    on_serving_change : callable
+        Called when `serving` has changed.
     """
 
     def __init__(
@@ -72,9 +72,8 @@
         self.ownership = ownership
         self.serving = False
         self._view = view
-        self.on_capacity_change: Callable[[], None] = lambda: None
+        self.on_serving_change: Callable[[], None] = lambda: None
         self._dispatcher = make_dispatcher(ownership)
-        self._dispatcher.notify_capacity_changes(self._note_capacity_change)
         self._registrations: dict[EndpointId, _Registration] = {}
         self._scope = trio.CancelScope()
 
@@ -88,12 +87,13 @@
                 async with trio.open_nursery() as nursery:
                     await nursery.start(self._dispatcher.run)
                     self.serving = True
-                    self.on_capacity_change()
+                    self.on_serving_change()
                     await self._register_loop()
         except* Deposed as group:
             reason = str(group.exceptions[0])
         finally:
             self.serving = False
+            self.on_serving_change()
             events.DISPATCHER_STOPPED.log(
                 group=str(ownership.group), epoch=ownership.epoch, ground=reason
             )
@@ -105,12 +105,9 @@
     async def drain(self) -> None:
         """Accept no new job, and return once all accepted jobs are answered."""
         self.serving = False
-        self.on_capacity_change()
+        self.on_serving_change()
         await self._dispatcher.drain()
 
-    def _note_capacity_change(self) -> None:
-        self.on_capacity_change()
-
     def load(self) -> HostLoad:
         """Return the current load of the dispatcher."""
         return self._dispatcher.load()
--- a/currantwell/fleet/messages.py
+++ b/currantwell/fleet/messages.py
@@ -17,6 +17,7 @@
 __all__ = [
     "CancelJob",
     "CapacityReport",
+    "CapacityRequest",
     "ConfigurationAnnouncement",
     "ConfigurationPart",
     "ConfigurationRequest",
@@ -264,30 +265,6 @@
     request: int
 
 
-class JobEnded(msgspec.Struct, frozen=True, tag="ended"):
-    """The reply to `RunJob`: how the job ended.
-
-    Parameters
-    ----------
-    request : int
-        Id of the request.
-    code : ResultCode
-        Result of the job. Codes 2000 to 2999 mean that no task was started.
-    detail : str
-        Explanation for people.
-    retry_after_s : float
-        Delay after which a refused job may be submitted again, in seconds.
-    elapsed_s : float
-        Time that the dispatcher's host had the request, in seconds.
-    """
-
-    request: int
-    code: ResultCode
-    detail: str = ""
-    retry_after_s: float = 0.0
-    elapsed_s: float = 0.0
-
-
 class CapacityReport(msgspec.Struct, frozen=True, tag="dispatcher"):
     """The free capacity of a dispatcher.
 
@@ -315,6 +292,39 @@
     waiting_s: float = 0.0
 
 
+class CapacityRequest(msgspec.Struct, frozen=True, tag="ask"):
+    """Requests the `CapacityReport` of the dispatcher of a group."""
+
+    group: EndpointGroup
+
+
+class JobEnded(msgspec.Struct, frozen=True, tag="ended"):
+    """The reply to `RunJob`: how the job ended.
+
+    Parameters
+    ----------
+    request : int
+        Id of the request.
+    code : ResultCode
+        Result of the job. Codes 2000 to 2999 mean that no task was started.
+    detail : str
+        Explanation for people.
+    retry_after_s : float
+        Delay after which a refused job may be submitted again, in seconds.
+    elapsed_s : float
+        Time that the dispatcher's host had the request, in seconds.
+    capacity : CapacityReport or None
+        The capacity of the dispatcher now, so that the receiver need not ask.
+    """
+
+    request: int
+    code: ResultCode
+    detail: str = ""
+    retry_after_s: float = 0.0
+    elapsed_s: float = 0.0
+    capacity: CapacityReport | None = None
+
+
 Message = (
     Ping
     | HostHello
@@ -332,4 +342,5 @@
     | CancelJob
     | JobEnded
     | CapacityReport
+    | CapacityRequest
 )
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -12,7 +12,7 @@
 import dataclasses
 import heapq
 import math
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 from .answers import Refusal
 from .backlog import Backlog
@@ -104,15 +104,9 @@
         The policies that decide.
     presets : PresetSource or None
         Source of the preset in force; None for `presets.ORDINARY`.
-
-    Attributes
-    ----------
-    on_capacity_change : callable
-        Called when the free capacity may have changed.
     """
 
     def __init__(self, policies: Policies, presets: PresetSource | None = None) -> None:
-        self.on_capacity_change: Callable[[], None] = lambda: None
         self._policies = policies
         self._presets = presets or FixedPreset()
         self._decisions = DecisionLog()
@@ -148,7 +142,6 @@
 
     def _capacity_changed(self) -> None:
         self._free_capacity = None
-        self.on_capacity_change()
 
     def _count_free_capacity(self) -> FreeCapacity:
         loads = [load for load in self._endpoints.values() if load.usable()]
