Refuse a waiting job once it is certain that it will not start in time

Cause: the queue was bounded by its total length, whatever its order, and a started job that could not meet its target any more came after all that could.

turning_away.py walks the queue in its order every 20 ms and refuses the jobs whose work ahead exceeds what the endpoints could do by their limit; the bound on the whole queue goes from 0.5 to 1 s. A late job most of which is done comes with those that can be in time. A request that arrives just after a restart waits for the first configuration, 0.6 s at most, since hosts that restart together have one again after 0.46 s (68 of 151 requests of two seconds were refused for want of it).

test_a_crest_of_long_jobs... fails with the rule turned off.

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -59,6 +59,8 @@
 TICK_S = 0.1
 # Jobs that expire within this time are cancelled together.
 MIN_EXPIRY_INTERVAL_S = 0.01
+# Half of the run time of a short task: the queue has hardly moved since.
+PROSPECT_INTERVAL_S = 0.02
 PAUSE_POLL_S = 0.02
 FORGET_INTERVAL_S = 10.0
 
@@ -704,14 +706,17 @@
             self._plan_if_tasks_wait()
 
     async def _expire_jobs_until(self, end_s: float) -> None:
-        """Cancel each job that expires before a time as soon as it does."""
+        """Cancel each job that expires before a time, or is certain to, at once."""
         while True:
             now = now_s()
-            for job in self._scheduler.pop_expired_jobs(now):
+            expired = self._scheduler.pop_expired_jobs(now)
+            for job in expired + self._scheduler.jobs_without_prospect(now):
                 await self._cancel_job(job, ResultCode.DEADLINE_PASSED)
             if now >= end_s:
                 return
             next_s = max(self._scheduler.next_expiry_s(), now + MIN_EXPIRY_INTERVAL_S)
+            if self._scheduler.waiting_task_count:
+                next_s = min(next_s, now + PROSPECT_INTERVAL_S)
             await trio.sleep_until(min(next_s, end_s))
 
     def _stop_stragglers(self, now: float) -> None:
--- a/currantwell/fleet/entry_service.py
+++ b/currantwell/fleet/entry_service.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Sequence
 
+import trio
+
 from .. import events
 from ..clock import now_s
 from ..ids import Team
@@ -24,6 +26,8 @@
 # Share of the time to the deadline. A job that is refused after half of that time has
 # kept its caller waiting in vain.
 START_BY_SHARE = 0.45
+# Hosts that restarted together have a configuration again within this time.
+CONFIGURATION_WAIT_S = 0.6
 # The load balancer sends new connections to other hosts by then.
 CLOSING_RETRY_AFTER_S = 1.0
 
@@ -72,6 +76,21 @@
         """Whether a configuration was received."""
         return self._view.configuration.version > 0
 
+    async def wait_configured(self, timeout_s: float) -> bool:
+        """Wait for the first configuration; return whether it has been received.
+
+        For callers whose requests arrive just after a restart a late answer is better
+        than a refusal. The others are refused when half of their time has passed.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time until the caller stops waiting, in seconds.
+        """
+        with trio.move_on_after(min(CONFIGURATION_WAIT_S, START_BY_SHARE * timeout_s)):
+            await self._view.wait_configured()
+        return self.configured
+
     @property
     def ready(self) -> bool:
         """Whether the load balancer should send requests to this host."""
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -86,6 +86,7 @@
         self._fetch: ConfigurationFetch[Channel] = ConfigurationFetch(hello.data_centre)
         self._fetch_changed = trio.Event()
         self._routes = RouteTable()
+        self._configured = trio.Event()
         self._ownerships: dict[EndpointGroup, Ownership] = {}
         self._hosts: dict[Channel, dict[HostId, HostHello]] = {}
         self._ping_interval_s = IDLE_PING_INTERVAL_S
@@ -131,6 +132,10 @@
         """Return the route of a request, None if no route matches."""
         return self._routes.find(host, path)
 
+    async def wait_configured(self) -> None:
+        """Return once a configuration has been received."""
+        await self._configured.wait()
+
     def update_hello(self, hello: HostHello) -> None:
         """Send a changed description of this host to all control hosts."""
         self._hello = hello
@@ -276,6 +281,7 @@
         if self.configuration is held:
             return
         self._routes = RouteTable(self.configuration.routes)
+        self._configured.set()
         events.CONFIGURATION_APPLIED.log(
             version=self.configuration.version,
             routes=len(self.configuration.routes),
--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -385,7 +385,7 @@
     unable : set of EndpointGroup
         Groups none of whose endpoints could ever run the part.
     overloaded : set of EndpointGroup
-        Groups whose backlog is too long.
+        Groups whose backlog is too long, or was too long to start the part in time.
     """
 
     def __init__(self) -> None:
@@ -397,7 +397,7 @@
         if reply.code is ResultCode.NOT_RUN_IMPOSSIBLE:
             self.unable.add(group)
             return 0.0
-        if reply.code is ResultCode.NOT_RUN_OVERLOADED:
+        if reply.code in (ResultCode.NOT_RUN_OVERLOADED, ResultCode.NOT_RUN_DEADLINE):
             self.overloaded.add(group)
             return 0.0
         return NO_DISPATCHER_PAUSE_S
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -44,6 +44,7 @@
     shape_of,
 )
 from .submission import TaskSpec
+from .turning_away import jobs_without_prospect
 
 __all__ = ["FreeCapacity", "Policies", "Scheduler"]
 
@@ -185,6 +186,7 @@
             request.team,
             now_s,
             target_completion_s=request.target_completion_s,
+            start_by_s=request.start_by_s,
         )
         tasks = [
             self._new_task(request, queued_job, index, attempt, now_s)
@@ -319,6 +321,17 @@
                 jobs.append(job)
         return jobs
 
+    def jobs_without_prospect(self, now_s: float) -> list[JobId]:
+        """Return the waiting jobs that will not start by their start limit."""
+        spec = self._newest_spec
+        if spec is None or not self._start_limits:
+            return []
+        usable = [load for load in self._endpoints.values() if load.usable()]
+        capacity = sum(load.slots_for(spec) * load.speed for load in usable)
+        slots = sum(load.announcement.slots for load in self._endpoints.values())
+        waiting = self._policies.ordering.candidates(slots, now_s)
+        return jobs_without_prospect(waiting, capacity, now_s)
+
     def next_expiry_s(self) -> float:
         """Return when the next job expires if it still waits then, infinite if none.
 
@@ -445,6 +458,7 @@
         queued_job = task.queued_job
         if queued_job is not None:
             queued_job.work_s += estimate_s - task.estimate_s
+            queued_job.total_s += estimate_s - task.estimate_s
             queued_job.longest_s = max(queued_job.longest_s, estimate_s)
         task.estimate_s = estimate_s
         self._backlog.add(task)
@@ -582,6 +596,7 @@
         )
         queued_job.tasks += 1
         queued_job.work_s += estimate_s
+        queued_job.total_s += estimate_s
         queued_job.longest_s = max(queued_job.longest_s, estimate_s)
         return WaitingTask(
             request.job,
--- a/currantwell/scheduler_types.py
+++ b/currantwell/scheduler_types.py
@@ -66,6 +66,10 @@
         runtime's clock; 0 if none has started.
     target_completion_s : float
         Target completion time, on the runtime's clock.
+    total_s : float
+        Total estimated run time of all its tasks, in seconds at speed 1.
+    start_by_s : float
+        Time by which its first task has to start, on the runtime's clock.
     """
 
     job: JobId
@@ -76,6 +80,8 @@
     longest_s: float = 0.0
     expected_end_s: float = 0.0
     target_completion_s: float = math.inf
+    total_s: float = 0.0
+    start_by_s: float = math.inf
 
 
 @dataclasses.dataclass(slots=True)
--- a/currantwell/target_time_ordering.py
+++ b/currantwell/target_time_ordering.py
@@ -3,7 +3,9 @@
 Jobs that only a fast endpoint ends by their deadline come first, and tasks that were
 moved to one: they take few endpoints, and those that they leave suit the other jobs.
 
-Of the others, jobs that can still meet their target come before those that can't.
+Of the others, jobs that can still meet their target come before those that can't. A
+late job most of which is done counts as one that can: little of the capacity is left to
+spend on it, and all that was spent is lost if it fails.
 Within both, jobs that have started tasks come first, since the work already done is
 lost when such a job fails. Ties are broken by the rank by arrival and size of
 `ordering`.
@@ -19,6 +21,9 @@
 
 __all__ = ["TargetTimeOrdering"]
 
+# Of a job of which less waits, more is lost than won by starting another one.
+NEARLY_DONE_SHARE = 0.5
+
 
 class _TargetedJob:
     """The waiting tasks of a job with the estimates that they have in common."""
@@ -37,9 +42,10 @@
         if estimates is None:
             return True, False, False, self.job.rank
         late = now_s + estimates.longest_s > estimates.target_completion_s
+        nearly_done = estimates.work_s < NEARLY_DONE_SHARE * estimates.total_s
         return (
             not self._needs_fast_endpoint(estimates, now_s),
-            late,
+            late and not nearly_done,
             not estimates.expected_end_s,
             self.job.rank,
         )
--- a/tests/cooperative/test_ingress.py
+++ b/tests/cooperative/test_ingress.py
@@ -74,3 +74,32 @@
     assert await submit(entry, b"1500") == 200
     short_s, padded_s, whole_s = entry.deadlines_s
     assert (whole_s - short_s, padded_s) == pytest.approx((1.0, short_s), abs=0.1)
+
+
+class StartingEntry(Entry):
+    """An entry service that receives its first configuration after some time."""
+
+    configured = False
+
+    def __init__(self, configured_after_s):
+        super().__init__()
+        self.configured_after_s = configured_after_s
+        self.timeouts_s = []
+
+    async def wait_configured(self, timeout_s):
+        self.timeouts_s.append(timeout_s)
+        with trio.move_on_after(timeout_s):
+            await trio.sleep(self.configured_after_s)
+            self.configured = True
+        return self.configured
+
+
+@pytest.mark.parametrize(("after_s", "status"), [(0.4, 200), (9.0, 503)])
+async def test_a_request_just_after_a_restart_waits_for_the_configuration(
+    after_s, status, autojump_clock
+):
+    entry = StartingEntry(after_s)
+    began_s = trio.current_time()
+    assert await submit(entry, b"1500") == status
+    assert entry.timeouts_s == [1.5]
+    assert all(deadline_s <= began_s + 1.5 for deadline_s in entry.deadlines_s)
--- a/tests/interactive_load.py
+++ b/tests/interactive_load.py
@@ -29,11 +29,12 @@
 START_WITHIN_S = 0.65
 TARGET_STRETCH = 1.6
 TARGET_ALLOWANCE_S = 0.06
-MAX_WAIT_S = 0.5
+MAX_WAIT_S = 1.0
+SHORT_QUEUE_S = 0.5
 CALL_S = 0.004
 STOP_S = 0.05
 POLL_S = 0.1
-TICK_S = 0.1
+TICK_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True)
@@ -64,6 +65,8 @@
     arrives_s: float
     open_tasks: int
     answered_s: float = math.inf
+    given_up_s: float = math.inf
+    started: bool = False
     ended: bool = False
 
     @property
@@ -99,11 +102,20 @@
 
 
 class InteractiveLoad:
-    """Plays a load and keeps its jobs."""
+    """Plays a load and keeps its jobs.
 
-    def __init__(self, seed, length_s, load_factor=1.0):
+    ``refuses_early`` is whether jobs are refused once it is certain that they will not
+    start in time, or only at their start limit, behind a queue of limited length.
+    """
+
+    def __init__(
+        self, seed, length_s, load_factor=1.0, kinds=KINDS, refuses_early=True
+    ):
         self._random = random.Random(seed)
-        self._scheduler = interactive_scheduler(MAX_WAIT_S, random.Random(seed))
+        self._refuses_early = refuses_early
+        self._scheduler = interactive_scheduler(
+            MAX_WAIT_S if refuses_early else SHORT_QUEUE_S, random.Random(seed)
+        )
         self._events = []
         self._sequence = itertools.count()
         self._attempts: dict[AttemptRef, Attempt] = {}
@@ -120,7 +132,7 @@
                 name, "first", "", "valdres", slots=SLOTS, processors=16.0
             )
             self._scheduler.update_endpoint(announcement, 0.0)
-        for kind in KINDS:
+        for kind in kinds:
             self._schedule_arrivals(kind, length_s, load_factor)
         self._at(0.0, self._tick)
 
@@ -166,6 +178,7 @@
         self.jobs[job.name] = job
         if self._scheduler.check_admission(job.request(), self._now_s) is not None:
             job.ended = True
+            job.given_up_s = self._now_s
             return
         attempts = {index: 1 for index in range(len(job.specs))}
         self._scheduler.add(job.request(), attempts, self._now_s)
@@ -173,6 +186,7 @@
     def _plan(self):
         for placed in self._scheduler.plan(self._now_s):
             job = self.jobs[placed.ref.job]
+            job.started = True
             factor = self._factors[placed.endpoint]
             if placed.task.moved:
                 self.moved_to_factors.append(factor)
@@ -237,6 +251,7 @@
 
     def _abandon(self, job):
         job.ended = True
+        job.given_up_s = self._now_s
         self._scheduler.remove(job.name)
         for ref, attempt in list(self._attempts.items()):
             if attempt.job is job and not attempt.stopping:
@@ -245,6 +260,9 @@
     def _tick(self):
         for name in self._scheduler.pop_expired_jobs(self._now_s):
             self._abandon(self.jobs[name])
+        if self._refuses_early:
+            for name in self._scheduler.jobs_without_prospect(self._now_s):
+                self._abandon(self.jobs[name])
         if self._now_s < self._length_s + 2 * DEADLINE_S:
             self._at(self._now_s + TICK_S, self._tick)
 
--- a/tests/test_interactive_load.py
+++ b/tests/test_interactive_load.py
@@ -1,5 +1,7 @@
 """A load of short and long interactive jobs near the endpoints' capacity."""
 
+import dataclasses
+
 import pytest
 
 from tests.interactive_load import (
@@ -16,6 +18,13 @@
 LOAD_FACTOR = 1.5
 OVERLOAD_FACTOR = 2.2
 OVERLOAD_LENGTH_S = 20.0
+LONG = KINDS[2]
+CREST_FACTOR = 10.0
+CREST_LENGTH_S = 8.0
+# Targets of the design: goodput under overload, and accepted work in a crest that meets
+# its deadline.
+LEAST_GOODPUT_SHARE = 0.95
+LEAST_ACCEPTED_SERVED = 0.95
 
 
 @pytest.fixture(scope="module")
@@ -42,3 +51,40 @@
     load = InteractiveLoad(seed, OVERLOAD_LENGTH_S, OVERLOAD_FACTOR)
     load.play()
     assert set(load.moved_to_factors) == {min(RUN_TIME_FACTORS)}
+
+
+def play_crest(refuses_early):
+    """Return the jobs of a crest in which ten times as many long ones come as usual."""
+    kinds = [
+        dataclasses.replace(kind, jobs_per_s=kind.jobs_per_s * CREST_FACTOR)
+        if kind is LONG
+        else kind
+        for kind in KINDS
+    ]
+    jobs = []
+    for seed in SEEDS:
+        load = InteractiveLoad(
+            seed, CREST_LENGTH_S, kinds=kinds, refuses_early=refuses_early
+        )
+        load.play()
+        jobs.extend(load.jobs.values())
+    return jobs
+
+
+def work_served_s(jobs):
+    return sum(job.work_s for job in jobs if job.answered_s <= job.deadline_s)
+
+
+def test_a_crest_of_long_jobs_keeps_fewer_short_ones_out_than_a_short_queue_does():
+    """Jobs that would wait in vain count in no queue that others are refused for."""
+    early, at_limit = play_crest(True), play_crest(False)
+    for kind in KINDS:
+        served, baseline = (
+            served_share([job for job in jobs if job.kind.name == kind.name])
+            for jobs in (early, at_limit)
+        )
+        assert served > baseline or kind is LONG
+    assert work_served_s(early) >= LEAST_GOODPUT_SHARE * work_served_s(at_limit)
+    held = [job for job in early if job.started and job.answered_s > job.deadline_s]
+    accepted = [job for job in early if job.started]
+    assert len(held) <= (1 - LEAST_ACCEPTED_SERVED) * len(accepted)
--- a/tests/test_target_time_ordering.py
+++ b/tests/test_target_time_ordering.py
@@ -18,6 +18,7 @@
     expected_end_s=0.0,
     deadline_s=math.inf,
     moved=False,
+    total_s=0.0,
 ):
     group = QueuedJob(
         JobId(name),
@@ -26,6 +27,8 @@
         longest_s=estimate_s,
         expected_end_s=expected_end_s,
         target_completion_s=target_completion_s,
+        work_s=tasks * estimate_s,
+        total_s=total_s or tasks * estimate_s,
     )
     spec = TaskSpec("work")
     return [
@@ -74,6 +77,12 @@
     ]
 
 
+def test_a_late_job_most_of_which_is_done_comes_before_a_new_one():
+    """Else it waits behind each new job of a crest until its deadline."""
+    old = a_job("old", target_completion_s=1.0, expected_end_s=1.3, total_s=0.3)
+    assert order(old, a_job("new")) == ["old", "new"]
+
+
 def test_small_jobs_overtake_large_ones():
     assert order(a_job("large", estimate_s=1.0), a_job("small"))[0] == "small"
 
