Handle what arrived during a pause before leases count as expired

A host that paused for longer than a lease (stopped, or out of its quota of the processor) found timers and replies due in one instant, in any order. If the expiry of leases came first, work that had ended meanwhile counted as lost and was started again.

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -62,6 +62,10 @@
 # Half of the run time of a short task: the queue has hardly moved since.
 PROSPECT_INTERVAL_S = 0.02
 PAUSE_POLL_S = 0.02
+# An event loop that is late by this much has paused for other reasons than its work.
+PAUSE_S = 0.3
+# Long enough to ask each endpoint once more.
+CATCH_UP_S = 0.15
 FORGET_INTERVAL_S = 10.0
 
 
@@ -698,7 +702,12 @@
     async def _tick_loop(self) -> None:
         """Act on expired leases, answers and deadlines, and on stragglers."""
         while True:
-            await self._expire_jobs_until(now_s() + TICK_S)
+            tick_s = now_s() + TICK_S
+            await self._expire_jobs_until(tick_s)
+            if now_s() - tick_s > PAUSE_S:
+                # What has arrived during a pause of this process is handled first;
+                # otherwise work that has ended would count as lost and run again.
+                await trio.sleep(CATCH_UP_S)
             for endpoint, incarnation in self._roster.tick():
                 await self._end_expired_attempts(endpoint, incarnation)
             self._forget_expired_jobs()
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 
 from currantwell.answers import Answer, TaskState
 from currantwell.baselines import LeastLoaded, baseline_policies
@@ -589,3 +590,29 @@
         bench.dispatcher.endpoint_reachability_changed(E1.endpoint, True)
         await settle()
     assert not plans
+
+
+@pytest.mark.parametrize("repetition", range(10))
+async def test_work_that_ended_during_a_pause_of_the_host_is_not_started_again(
+    nursery, mock_clock, repetition
+):
+    """After a pause the expiry of leases and the results come in any order."""
+    bench, job = Bench(), a_submission()
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    nursery.start_soon(bench.dispatcher.submit, job)
+    await trio.testing.wait_all_tasks_blocked()
+    (start,) = bench.link.starts
+
+    async def deliver():
+        await trio.sleep(5.0)
+        line = ResultLine(1, start.ref, ResultCode.COMPLETE, "done", 1.0)
+        await bench.link.results(line)
+
+    nursery.start_soon(deliver)
+    await trio.testing.wait_all_tasks_blocked()
+    mock_clock.jump(10.0)
+    mock_clock.autojump_threshold = 0.0
+    reply = await bench.dispatcher.wait(a_job_id(job), 5.0)
+    assert reply.code is ResultCode.COMPLETE
+    assert len(bench.link.starts) == 1
