Cancel a job whose cancellation arrives with it, and keep errors to one job

The cancellation came before the job's task had run and was dropped, so the job ran although its caller had left and could have sent it elsewhere. Jobs can now be cancelled from the moment they are read. - An unexpected error in one job or message went up to the process and ended it; one in an HTTP request was answered with 500 without a line in the log. isolation.py ends the job, the request or the channel alone, and logs 810 unexpected_error.

Red before: test_a_job_whose_cancellation_arrives_with_it_does_not_run and both test_an_unexpected_error_... tests. test_after_a_pause_beyond_the_deadline_nothing_more_is_sent passed at once: the router does not send after its deadline.

--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -424,3 +424,15 @@
 REQUEST_MALFORMED = _event(
     806, "request_malformed", Level.WARNING, "A request or a reply is malformed."
 )
+UNEXPECTED_ERROR = _event(
+    810,
+    "unexpected_error",
+    Level.ERROR,
+    "An error in the code ended one connection, request or job; the host goes on.",
+)
+ENDPOINT_LEAVE_LATE = _event(
+    811,
+    "endpoint_leave_late",
+    Level.INFO,
+    "An endpoint's notice that it leaves is ignored, since it has started again.",
+)
--- a/currantwell/fleet/dispatcher_links.py
+++ b/currantwell/fleet/dispatcher_links.py
@@ -19,6 +19,7 @@
 from ..clock import now_s
 from ..codes import ResultCode
 from ..ids import HostId, job_id
+from ..isolation import isolated
 from ..kernel import ServiceName
 from ..metrics import HostLoad
 from ..submission import Submission
@@ -430,21 +431,26 @@
             channel = await open_channel(remote.address, IDLE_PING_INTERVAL_S)
             if channel is not None:
                 channel.send(self._hello)
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(channel.run)
-                    remote.channel = channel
-                    self._delays[channel] = ReplyDelays()
-                    try:
-                        async for message in channel.messages():
-                            self._process(channel, message)
-                    finally:
-                        remote.channel = None
-                        del self._delays[channel]
-                        self._forget_capacity_of(remote)
-                        for waiter in self._waiters.pop(channel, {}).values():
-                            waiter.ended.set()
+                with isolated("channel to a dispatcher"):
+                    await self._receive(remote, channel)
             await trio.sleep(RECONNECT_DELAY_S)
 
+    async def _receive(self, remote: _RemoteHost, channel: Channel) -> None:
+        """Process what another host sends until the channel closes."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(channel.run)
+            remote.channel = channel
+            self._delays[channel] = ReplyDelays()
+            try:
+                async for message in channel.messages():
+                    self._process(channel, message)
+            finally:
+                remote.channel = None
+                del self._delays[channel]
+                self._forget_capacity_of(remote)
+                for waiter in self._waiters.pop(channel, {}).values():
+                    waiter.ended.set()
+
     def _forget_capacity_of(self, remote: _RemoteHost) -> None:
         for ownership in self._view.ownerships:
             if ownership.host == remote.host:
@@ -467,6 +473,10 @@
 
     async def _accept(self, stream: trio.SocketStream) -> None:
         channel = accept_channel(stream, IDLE_PING_INTERVAL_S)
+        with isolated("channel of another host"):
+            await self._serve_channel(channel)
+
+    async def _serve_channel(self, channel: Channel) -> None:
         scopes: dict[int, trio.CancelScope] = {}
         async with trio.open_nursery() as nursery:
             nursery.start_soon(channel.run)
@@ -478,7 +488,8 @@
                     match message:
                         case CapacityRequest(group):
                             self._answer_question(channel, group)
-                        case RunJob():
+                        case RunJob(request):
+                            scopes[request] = trio.CancelScope()
                             nursery.start_soon(self._serve, channel, message, scopes)
                         case CancelJob(request):
                             if request in scopes:
@@ -491,8 +502,10 @@
         self, channel: Channel, message: RunJob, scopes: dict[int, trio.CancelScope]
     ) -> None:
         """Run a job for another host; it is cancelled if that host disconnects."""
+        scope = scopes[message.request]
         local = self._local.get(message.group)
-        if local is None:
+        if local is None or scope.cancel_called:
+            del scopes[message.request]
             reply = JobEnded(
                 message.request,
                 ResultCode.NOT_RUN_NO_PRIMARY,
@@ -502,12 +515,17 @@
             return
         received_s = now_s()
         channel.ping_every(PING_INTERVAL_S)
-        with trio.CancelScope() as scope:
-            scopes[message.request] = scope
+        with scope:
             try:
-                reply = await self._run_local(
-                    local, message.request, message.submission
+                reply = JobEnded(
+                    message.request,
+                    ResultCode.UNKNOWN_OWNER_UNREACHABLE,
+                    "internal error",
                 )
+                with isolated("job"):
+                    reply = await self._run_local(
+                        local, message.request, message.submission
+                    )
                 channel.send(
                     msgspec.structs.replace(
                         reply,
--- a/currantwell/http_connection.py
+++ b/currantwell/http_connection.py
@@ -25,6 +25,7 @@
 from hypercorn.utils import parse_socket_addr
 
 from .direct_stream import DirectStream
+from .isolation import isolated
 
 __all__ = ["LINGER_S", "HttpConnection"]
 
@@ -268,13 +269,6 @@
 
     If it is cancelled, nothing is sent, since the connection is about to be closed.
     """
-    try:
+    with isolated("request"):
         await app(scope, receive, send)
-    except BaseExceptionGroup as error:
-        _, others = error.split(trio.Cancelled)
-        if others is None:
-            raise
-        await config.log.exception("Error in ASGI Framework")
-    except Exception:
-        await config.log.exception("Error in ASGI Framework")
     await send(None)
--- a/tests/fleet/test_dispatcher_links.py
+++ b/tests/fleet/test_dispatcher_links.py
@@ -10,7 +10,7 @@
 
 from currantwell.codes import ResultCode
 from currantwell.fleet import dispatcher_links
-from currantwell.fleet.channel import open_channel
+from currantwell.fleet.channel import encode, open_channel
 from currantwell.fleet.dispatcher_links import (
     ASK_TIMEOUT_S,
     UNUSED_CHANNEL_S,
@@ -21,6 +21,7 @@
 from currantwell.fleet.groups import EndpointGroup
 from currantwell.fleet.local_dispatch import LocalDispatch
 from currantwell.fleet.messages import (
+    CancelJob,
     CapacityReport,
     CapacityRequest,
     HostHello,
@@ -47,6 +48,8 @@
         )
         self.on_serving_change = lambda: None
         self.run_s = 0.01
+        self.jobs = 0
+        self.error = None
 
     async def run(self):
         await trio.sleep_forever()
@@ -55,6 +58,9 @@
         return msgspec.structs.replace(self.report, serving=self.serving)
 
     async def run_job(self, request, submission):
+        self.jobs += 1
+        if self.error is not None:
+            raise self.error
         await trio.sleep(self.run_s)
         self.report = msgspec.structs.replace(self.report, free=7)
         return JobEnded(request, ResultCode.COMPLETE)
@@ -281,3 +287,51 @@
             assert trio.current_time() - began_s <= 3 * ASK_TIMEOUT_S
         finally:
             DispatcherLinks._answer_question = accepted
+
+
+async def test_a_job_whose_cancellation_arrives_with_it_does_not_run():
+    """As after a pause of the dispatcher: its caller has long sent it elsewhere."""
+    async with reporting() as (local, channel, _):
+        frames = [
+            len(body).to_bytes(4, "big") + body
+            for body in map(encode, (RunJob(5, GROUP, a_submission("a")), CancelJob(5)))
+        ]
+        channel._direct.send_now(b"".join(frames))
+        await trio.sleep(0.1)
+        assert local.jobs == 0
+        channel.send(RunJob(6, GROUP, a_submission("b")))
+        await trio.sleep(0.1)
+        assert local.jobs == 1
+
+
+async def test_an_unexpected_error_in_a_job_ends_only_that_job(caplog):
+    async with reporting() as (local, channel, received):
+        local.error = KeyError("no such task")
+        channel.send(RunJob(5, GROUP, a_submission("a")))
+        await trio.sleep(0.1)
+        local.error = None
+        channel.send(RunJob(6, GROUP, a_submission("b")))
+        await trio.sleep(0.1)
+    replies = {each.request: each.code for each in received if hasattr(each, "request")}
+    assert replies == {
+        5: ResultCode.UNKNOWN_OWNER_UNREACHABLE,
+        6: ResultCode.COMPLETE,
+    }
+    assert "unexpected_error" in caplog.text
+
+
+async def test_an_unexpected_error_in_a_message_ends_only_its_channel(
+    monkeypatch, caplog
+):
+    def fail(*args):
+        raise RuntimeError("never expected")
+
+    async with reporting() as (local, channel, _):
+        with monkeypatch.context() as patch:
+            patch.setattr(DispatcherLinks, "_answer_question", fail)
+            channel.send(CapacityRequest(GROUP))
+            with trio.fail_after(1.0):
+                while not channel.closed:
+                    await trio.sleep(0.01)
+        assert local.serving
+    assert "never expected" in caplog.text
--- a/tests/fleet/test_job_router.py
+++ b/tests/fleet/test_job_router.py
@@ -293,3 +293,17 @@
     assert delays_s == sorted(delays_s)
     assert delays_s[0] >= 0.6
     assert delays_s[-1] - delays_s[0] >= 10.0
+
+
+async def test_after_a_pause_beyond_the_deadline_nothing_more_is_sent(mock_clock):
+    """The caller is gone; it may have sent the job to another host meanwhile."""
+    links = Links(valdres=4, hallingdal=4)
+
+    async def refuse_after_pause(group, submission):
+        links.sent.append(group)
+        mock_clock.jump(5.0)
+        return JobEnded(1, ResultCode.NOT_RUN_OVERLOADED)
+
+    links.run_job = refuse_after_pause
+    assert not isinstance(await run(links, start_by_s=9.0), JobDone)
+    assert len(links.sent) == 1
