Do not use an endpoint again that left before a restart

After a restart a control host read the endpoints from its hint and sent them to all; one that had left less than a second before, or while that host was cut off, was registered again, and entry hosts took the report since they had forgotten that it left. Departures are now kept with the start time of the process, in the hint too, and sent to each host before any report. So a late notice of one process no longer removes the next one, where the notice names its start time. Channels of control and entry hosts are isolated here too.

Red before: test_an_endpoint_that_left_is_not_used_again_after_a_restart and the tests of the view.

--- a/currantwell/fleet/control_service.py
+++ b/currantwell/fleet/control_service.py
@@ -15,6 +15,7 @@
 from ..clock import now_s
 from ..errors import AgreementLost
 from ..ids import EndpointId, HostId
+from ..isolation import isolated
 from ..kernel import ServiceName
 from .channel import (
     Channel,
@@ -30,6 +31,7 @@
 from .messages import (
     ConfigurationRequest,
     ControlHostsUpdate,
+    Departure,
     EndpointHeartbeats,
     EndpointReport,
     EndpointReports,
@@ -213,20 +215,37 @@
         )
         return False
 
-    def leave(self, endpoint: EndpointId) -> None:
-        """Remove an endpoint that is shutting down, and notify all hosts."""
+    def leave(self, endpoint: EndpointId, born_unix_ms: int | None = None) -> None:
+        """Remove an endpoint that is shutting down, and notify all hosts.
+
+        Parameters
+        ----------
+        endpoint : EndpointId
+            The endpoint.
+        born_unix_ms : int or None
+            Start time of the process that leaves; None for the one that is registered.
+        """
+        registered_unix_ms = self._registry.born_unix_ms(endpoint)
+        if born_unix_ms is None:
+            born_unix_ms = registered_unix_ms
+        departure = Departure(endpoint, born_unix_ms)
+        if registered_unix_ms > born_unix_ms:
+            events.ENDPOINT_LEAVE_LATE.log(endpoint=endpoint, born_unix_ms=born_unix_ms)
+            return
         self._pending_reports.pop(endpoint, None)
         self._pending_drains.pop(endpoint, None)
         self._confirmations.discard(endpoint)
-        if self._registry.remove(endpoint):
+        if self._registry.remove(departure):
             events.ENDPOINT_LEFT.log(endpoint=endpoint)
-            self._registry_changed = True
-        self._broadcast(EndpointsLeft((endpoint,)))
+        self._registry_changed = True
+        self._broadcast(EndpointsLeft((departure,)))
 
     # Channels.
 
     async def _accept(self, stream: trio.SocketStream) -> None:
-        await self._serve_channel(accept_channel(stream, CONTROL_PING_INTERVAL_S))
+        channel = accept_channel(stream, CONTROL_PING_INTERVAL_S)
+        with isolated("channel of another host"):
+            await self._serve_channel(channel)
 
     async def _serve_channel(self, channel: Channel) -> None:
         """Send the complete state to a host, and process what it sends.
@@ -254,7 +273,8 @@
             channel = await open_channel(address, CONTROL_PING_INTERVAL_S)
             if channel is not None:
                 channel.send(self._hello)
-                await self._serve_channel(channel)
+                with isolated("channel to a control host"):
+                    await self._serve_channel(channel)
             await trio.sleep(RECONNECT_DELAY_S)
 
     def _process(self, channel: Channel, message: Message) -> None:
@@ -268,11 +288,11 @@
                 self._control_addresses.discard(self._hello.address)
             case EndpointHeartbeats(endpoints):
                 self._registry.record_heartbeats(endpoints, now_s())
-            case EndpointsLeft(endpoints):
-                for endpoint in endpoints:
-                    self._confirmations.discard(endpoint)
-                    if self._registry.remove(endpoint):
-                        self._registry_changed = True
+            case EndpointsLeft(departures):
+                for departure in departures:
+                    self._registry_changed = True
+                    if self._registry.remove(departure):
+                        self._confirmations.discard(departure.endpoint)
 
     def _process_reports(
         self, channel: Channel, reports: Iterable[EndpointReport]
@@ -380,6 +400,8 @@
         channel.send(self._control_hosts())
         channel.send(self._history.announcement(self._hello.data_centre))
         channel.send(EntryHostsUpdate(tuple(self._sent_hosts.values())))
+        # First, so that no report of an endpoint that has left is used.
+        channel.send(EndpointsLeft(tuple(self._registry.departures)))
         channel.send(EndpointReports(tuple(self._registry.reports)))
         channel.send(OwnershipsUpdate(tuple(self._state.ownerships)))
 
--- a/currantwell/fleet/endpoint_registry.py
+++ b/currantwell/fleet/endpoint_registry.py
@@ -20,9 +20,10 @@
 from ..decoding import decode
 from ..errors import InvalidRequest, MessageMalformed
 from ..ids import EndpointId
-from .messages import EndpointReport, check_report
+from .messages import Departure, EndpointReport, check_report
 
 __all__ = [
+    "Departures",
     "EndpointRegistry",
     "FileHintStore",
     "HintStore",
@@ -35,6 +36,8 @@
 FORGET_AFTER_S = 6.0
 # Several times the number of endpoints, at about 1 KB each.
 MAX_REMOVED_REPORTS = 4_096
+# A hundred times those of an ordinary day; all are sent as a channel begins.
+MAX_DEPARTURES = 1_024
 
 
 class HintStore(Protocol):
@@ -115,6 +118,7 @@
 
 _entries_decoder = msgspec.msgpack.Decoder(list[msgspec.Raw])
 _report_decoder = msgspec.msgpack.Decoder(EndpointReport)
+_departure_decoder = msgspec.msgpack.Decoder(Departure)
 
 
 class RemovedReports:
@@ -150,6 +154,29 @@
         return max(report, kept, key=EndpointReport.sort_key)
 
 
+class Departures:
+    """The processes of endpoints that have left, up to `MAX_DEPARTURES`."""
+
+    def __init__(self) -> None:
+        self._born_unix_ms: dict[EndpointId, int] = {}
+
+    def __iter__(self) -> Iterator[Departure]:
+        return (Departure(*each) for each in list(self._born_unix_ms.items()))
+
+    def add(self, departure: Departure) -> None:
+        """Keep a departure; the one that was kept first is dropped first."""
+        endpoint = departure.endpoint
+        earlier = self._born_unix_ms.pop(endpoint, departure.born_unix_ms)
+        self._born_unix_ms[endpoint] = max(earlier, departure.born_unix_ms)
+        if len(self._born_unix_ms) > MAX_DEPARTURES:
+            del self._born_unix_ms[next(iter(self._born_unix_ms))]
+
+    def includes(self, report: EndpointReport) -> bool:
+        """Return whether a report is of a process that has left."""
+        born_unix_ms = self._born_unix_ms.get(report.announcement.endpoint)
+        return born_unix_ms is not None and report.born_unix_ms <= born_unix_ms
+
+
 class EndpointRegistry:
     """The latest report and heartbeat time of each endpoint.
 
@@ -166,9 +193,9 @@
         self._hint = hint
         self._reports: dict[EndpointId, EndpointReport] = {}
         self._last_heartbeat_s: dict[EndpointId, float] = {}
-        self._departed = RemovedReports()
+        self._departures = Departures()
         self._forgotten = RemovedReports()
-        for report in _decode(hint.load()):
+        for report in _decode(hint.load(), self._departures):
             self._reports[report.announcement.endpoint] = report
             self._last_heartbeat_s[report.announcement.endpoint] = now_s
 
@@ -177,10 +204,23 @@
         """The latest report of each registered endpoint."""
         return self._reports.values()
 
+    @property
+    def departures(self) -> Iterable[Departure]:
+        """The processes of endpoints that have left."""
+        return self._departures
+
     def report(self, endpoint: EndpointId) -> EndpointReport | None:
         """Return the latest report of an endpoint, if it is registered."""
         return self._reports.get(endpoint)
 
+    def born_unix_ms(self, endpoint: EndpointId) -> int:
+        """Return the start time of an endpoint's process, 0 if it is not known.
+
+        That of an endpoint that was removed as unresponsive is known for some time.
+        """
+        report = self._reports.get(endpoint) or self._forgotten.get(endpoint)
+        return 0 if report is None else report.born_unix_ms
+
     def record_report(self, report: EndpointReport, now_s: float) -> bool:
         """Record a report; return whether `report` has an update for dispatchers.
 
@@ -190,8 +230,7 @@
             return False
         endpoint = report.announcement.endpoint
         previous = self._reports.get(endpoint)
-        departed = self._departed.get(endpoint)
-        if departed is not None and departed.born_unix_ms >= report.born_unix_ms:
+        if self._departures.includes(report):
             return False
         if previous is not None and previous.sort_key() >= report.sort_key():
             return False
@@ -204,16 +243,19 @@
             report.born_unix_ms,
         )
 
-    def remove(self, endpoint: EndpointId) -> bool:
+    def remove(self, departure: Departure) -> bool:
         """Remove an endpoint that is shutting down; return whether it was registered.
 
-        Later reports of the same process are ignored.
+        One that has started again since stays. Later reports of the process that has
+        left are ignored, also after a restart of this host.
         """
-        report = self._reports.pop(endpoint, None)
-        self._last_heartbeat_s.pop(endpoint, None)
-        if report is not None:
-            self._departed.add(report)
-        return report is not None
+        self._departures.add(departure)
+        report = self._reports.get(departure.endpoint)
+        if report is None or not self._departures.includes(report):
+            return False
+        del self._reports[departure.endpoint]
+        self._last_heartbeat_s.pop(departure.endpoint, None)
+        return True
 
     def record_heartbeats(self, endpoints: Iterable[EndpointId], now_s: float) -> None:
         """Record that another control host received heartbeats of endpoints."""
@@ -222,10 +264,9 @@
                 self._last_heartbeat_s[endpoint] = now_s
 
     async def save(self) -> bool:
-        """Save the reports to the hint store; return whether that was possible."""
-        return await self._hint.save(
-            msgspec.msgpack.encode(tuple(self._reports.values()))
-        )
+        """Save the registry to the hint store; return whether that was possible."""
+        entries = (*self._departures, *self._reports.values())
+        return await self._hint.save(msgspec.msgpack.encode(entries))
 
     def remove_unresponsive(self, now_s: float) -> tuple[EndpointId, ...]:
         """Remove and return the endpoints without a heartbeat for `FORGET_AFTER_S`."""
@@ -253,8 +294,8 @@
     return True
 
 
-def _decode(data: bytes | None) -> Iterator[EndpointReport]:
-    """Yield the usable reports of a hint; the others are logged."""
+def _decode(data: bytes | None, departures: Departures) -> Iterator[EndpointReport]:
+    """Yield the usable reports of a hint, and add its departures; log the others."""
     if data is None:
         return
     try:
@@ -263,12 +304,18 @@
         events.HINT_UNAVAILABLE.log(error=str(error))
         return
     for entry in entries:
+        try:
+            departures.add(decode(_departure_decoder, bytes(entry)))
+            continue
+        except MessageMalformed:
+            # It is a report then.
+            pass
         try:
             report = decode(_report_decoder, bytes(entry))
         except MessageMalformed as error:
             _log_odd_report("", error)
             continue
-        if is_usable(report):
+        if is_usable(report) and not departures.includes(report):
             yield report
 
 
--- a/currantwell/fleet/fleet_view.py
+++ b/currantwell/fleet/fleet_view.py
@@ -13,16 +13,18 @@
 from .. import events
 from ..clock import now_s
 from ..ids import EndpointId, HostId
+from ..isolation import isolated
 from ..kernel import ServiceName
 from .channel import PING_INTERVAL_S, Channel, open_channel, usable_addresses
 from .configuration_transfer import ConfigurationFetch
-from .endpoint_registry import RemovedReports, is_usable
+from .endpoint_registry import Departures, RemovedReports, is_usable
 from .fleet_state import Ownership
 from .groups import EndpointGroup
 from .messages import (
     ConfigurationAnnouncement,
     ConfigurationPart,
     ControlHostsUpdate,
+    Departure,
     EndpointHeartbeats,
     EndpointReport,
     EndpointReports,
@@ -82,6 +84,7 @@
         self.on_change: Callable[[], None] = lambda: None
         self.endpoints: dict[EndpointId, EndpointRecord] = {}
         self._removed = RemovedReports()
+        self._departures = Departures()
         self._hello = hello
         self._fetch: ConfigurationFetch[Channel] = ConfigurationFetch(hello.data_centre)
         self._fetch_changed = trio.Event()
@@ -184,7 +187,8 @@
             channel = await open_channel(address, self._ping_interval_s)
             if channel is not None:
                 events.CONTROL_CONNECTED.log(address=address)
-                await self._receive_loop(channel)
+                with isolated("channel to a control host"):
+                    await self._receive_loop(channel)
                 events.CONTROL_DISCONNECTED.log(address=address)
             await trio.sleep(RECONNECT_DELAY_S)
 
@@ -244,10 +248,24 @@
             for report in message.reports:
                 self._record_report(report)
         else:
-            for endpoint in message.endpoints:
-                self.remove_endpoint(endpoint)
+            for departure in message.departures:
+                self._record_departure(departure)
+
+    def _record_departure(self, departure: Departure) -> None:
+        """Remove an endpoint that has left, unless it has started again since."""
+        self._departures.add(departure)
+        record = self.endpoints.get(departure.endpoint)
+        if record is not None and self._departures.includes(record.report):
+            self.remove_endpoint(departure.endpoint)
 
     def _record_report(self, report: EndpointReport) -> None:
+        """Use a report that is later than the one in use.
+
+        A control host that was restarted or cut off may still send reports of endpoints
+        that have left.
+        """
+        if self._departures.includes(report):
+            return
         endpoint = report.announcement.endpoint
         record = self.endpoints.get(endpoint)
         if record is not None and report.sort_key() <= record.report.sort_key():
--- a/currantwell/fleet/messages.py
+++ b/currantwell/fleet/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..codes import ResultCode
-from ..decoding import MAX_INTEGER
+from ..decoding import MAX_INTEGER, Count
 from ..endpoint_protocol import Announcement, check_announcement
 from ..errors import InvalidRequest
 from ..ids import DataCentre, EndpointId, Epoch, HostId, Incarnation, check_name
@@ -22,6 +22,7 @@
     "ConfigurationPart",
     "ConfigurationRequest",
     "ControlHostsUpdate",
+    "Departure",
     "EndpointHeartbeats",
     "EndpointReport",
     "EndpointReports",
@@ -235,10 +236,25 @@
     endpoints: tuple[EndpointId, ...]
 
 
+class Departure(msgspec.Struct, frozen=True, tag="departure"):
+    """An endpoint whose process announced that it is shutting down.
+
+    Parameters
+    ----------
+    endpoint : EndpointId
+        The endpoint.
+    born_unix_ms : int
+        Start time of the process; one that started later has not left.
+    """
+
+    endpoint: EndpointId
+    born_unix_ms: Count
+
+
 class EndpointsLeft(msgspec.Struct, frozen=True, tag="gone"):
     """Endpoints that announced that they are shutting down."""
 
-    endpoints: tuple[EndpointId, ...]
+    departures: tuple[Departure, ...]
 
 
 class RunJob(msgspec.Struct, frozen=True, tag="run"):
--- a/tests/fleet/test_endpoint_registry.py
+++ b/tests/fleet/test_endpoint_registry.py
@@ -8,14 +8,20 @@
 
 from currantwell.fleet.endpoint_registry import (
     FORGET_AFTER_S,
+    MAX_DEPARTURES,
     MAX_REMOVED_REPORTS,
+    Departures,
     EndpointRegistry,
     FileHintStore,
     MemoryHintStore,
     RemovedReports,
 )
+from currantwell.fleet.messages import Departure
+from currantwell.ids import EndpointId
 from tests.fleet.builders import a_report
 
+A_DEPARTURE = Departure(EndpointId("e1"), 1_000)
+
 
 def a_registry(hint=None):
     return EndpointRegistry(hint or MemoryHintStore(), 0.0)
@@ -43,7 +49,7 @@
 def test_reports_of_an_endpoint_that_left_are_ignored_until_it_restarts():
     registry = a_registry()
     registry.record_report(a_report(), 1.0)
-    assert registry.remove(a_report().announcement.endpoint)
+    assert registry.remove(A_DEPARTURE)
     assert not registry.record_report(a_report(sequence=7), 1.0)
     assert registry.record_report(a_report(born_unix_ms=2_000), 1.0)
 
@@ -175,3 +181,32 @@
     later = a_report(born_unix_ms=1_900)
     assert registry.record_report(later, 2 * FORGET_AFTER_S)
     assert registry.report("e1") == later
+
+
+async def test_an_endpoint_that_left_is_not_used_again_after_a_restart(hint):
+    registry = a_registry(hint)
+    registry.record_report(a_report(), 1.0)
+    registry.remove(A_DEPARTURE)
+    await registry.save()
+    restarted = a_registry(hint)
+    assert list(restarted.reports) == []
+    # From a control host that was cut off when the endpoint left.
+    assert not restarted.record_report(a_report(sequence=7), 1.0)
+    assert list(restarted.reports) == []
+    assert restarted.record_report(a_report(born_unix_ms=2_000), 1.0)
+
+
+def test_a_late_departure_leaves_a_process_that_has_started_since():
+    registry = a_registry()
+    registry.record_report(a_report(born_unix_ms=2_000), 1.0)
+    assert not registry.remove(A_DEPARTURE)
+    assert [report.born_unix_ms for report in registry.reports] == [2_000]
+
+
+def test_departures_are_kept_up_to_a_number():
+    departures = Departures()
+    for number in range(MAX_DEPARTURES + 1):
+        departures.add(Departure(EndpointId(f"e{number}"), 1_000))
+    assert not departures.includes(a_report("e0"))
+    assert departures.includes(a_report("e1"))
+    assert len(list(departures)) == MAX_DEPARTURES
--- a/tests/fleet/test_fleet_view.py
+++ b/tests/fleet/test_fleet_view.py
@@ -3,7 +3,13 @@
 import pytest
 
 from currantwell.fleet.fleet_view import FleetView
-from currantwell.fleet.messages import ControlHostsUpdate, EndpointReports
+from currantwell.fleet.messages import (
+    ControlHostsUpdate,
+    Departure,
+    EndpointReports,
+    EndpointsLeft,
+)
+from currantwell.ids import EndpointId
 from tests.fleet.builders import a_hello, a_report
 
 ODD_REPORTS = [
@@ -36,3 +42,23 @@
     view = FleetView(a_hello(), ["127.0.0.1:7001"])
     view._process(None, ControlHostsUpdate(("127.0.0.1:99999", "127.0.0.1:7002")))
     assert view._control_addresses == {"127.0.0.1:7001", "127.0.0.1:7002"}
+
+
+async def test_an_endpoint_that_left_is_not_used_by_an_earlier_report():
+    """A restarted control host sends what it last knew."""
+    view = FleetView(a_hello(), [])
+    view._process(None, EndpointReports((a_report(),)))
+    view._process(None, EndpointsLeft((Departure(EndpointId("e1"), 1_000),)))
+    view._process(None, EndpointReports((a_report(sequence=9),)))
+    assert view.endpoints == {}
+    view._process(None, EndpointReports((a_report(born_unix_ms=2_000),)))
+    assert list(view.endpoints) == ["e1"]
+    view._process(None, EndpointsLeft((Departure(EndpointId("e1"), 1_000),)))
+    assert list(view.endpoints) == ["e1"]
+
+
+async def test_a_restarted_host_hears_of_departures_before_reports():
+    view = FleetView(a_hello(), [])
+    view._process(None, EndpointsLeft((Departure(EndpointId("e1"), 1_000),)))
+    view._process(None, EndpointReports((a_report(),)))
+    assert view.endpoints == {}
