--- a/currantwell/fleet/dispatcher_links.py
+++ b/currantwell/fleet/dispatcher_links.py
@@ -50,6 +50,8 @@
 IDLE_PING_INTERVAL_S = 1.0
 # A reply from another data centre takes 3 ms, and as long again on a busy host.
 ASK_TIMEOUT_S = 0.02
+# The leases of the endpoints have run out by then.
+RESTART_PAUSE_S = 0.8
 # Several times the run time of a job.
 UNUSED_CHANNEL_S = 5.0
 
@@ -304,7 +306,7 @@
                 if local is None and not self._draining:
                     local = self._local[ownership.group] = self._make_local(ownership)
                     local.on_serving_change = partial(self._broadcast_capacity, local)
-                    nursery.start_soon(local.run)
+                    nursery.start_soon(self._run_dispatcher, local)
                 continue
             address = self._view.address_of(ownership)
             if address is not None and address not in self._remote:
@@ -315,6 +317,18 @@
         self._keep_near_channels()
         self._view.set_dispatching(bool(self._local))
 
+    async def _run_dispatcher(self, local: LocalDispatch) -> None:
+        """Run a dispatcher; one that an unexpected error has ended is made anew."""
+        failed = True
+        with isolated("dispatcher"):
+            await local.run()
+            failed = False
+        if failed:
+            await trio.sleep(RESTART_PAUSE_S)
+            if self._local.get(local.ownership.group) is local:
+                del self._local[local.ownership.group]
+                self._note_change()
+
     def _keep_near_channels(self) -> None:
         """Keep the channels to the dispatchers of this data centre open."""
         near = {
--- a/tests/fleet/test_dispatcher_links.py
+++ b/tests/fleet/test_dispatcher_links.py
@@ -335,3 +335,24 @@
                     await trio.sleep(0.01)
         assert local.serving
     assert "never expected" in caplog.text
+
+
+async def test_a_dispatcher_that_an_unexpected_error_ends_is_made_anew(caplog):
+    made = []
+
+    class FailingOnce(FakeLocal):
+        async def run(self):
+            made.append(self)
+            if len(made) == 1:
+                await trio.sleep(0.1)
+                raise KeyError("no such endpoint")
+            await trio.sleep_forever()
+
+    async with reporting(make_local=FailingOnce) as (_, channel, received):
+        with trio.fail_after(3.0):
+            while len(made) < 2:
+                await trio.sleep(0.05)
+        channel.send(RunJob(5, GROUP, a_submission("a")))
+        await trio.sleep(0.1)
+        assert made[1].jobs == 1
+    assert "no such endpoint" in caplog.text
