--- a/tests/fleet/test_dispatcher_links.py
+++ b/tests/fleet/test_dispatcher_links.py
@@ -348,7 +348,7 @@
                 raise KeyError("no such endpoint")
             await trio.sleep_forever()
 
-    async with reporting(make_local=FailingOnce) as (_, channel, received):
+    async with reporting(make_local=FailingOnce) as (_, channel, _):
         with trio.fail_after(3.0):
             while len(made) < 2:
                 await trio.sleep(0.05)
