--- a/currantwell/fleet/dispatcher_links.py
+++ b/currantwell/fleet/dispatcher_links.py
@@ -344,7 +344,13 @@
                 remote.wanted.set()
 
     def _close_unused_channels(self) -> None:
-        """Close the channels to other data centres that no job needs any more."""
+        """Close the channels to other data centres that no job needs any more.
+
+        While no dispatcher of this data centre is reached, they are kept.
+        """
+        home = self._hello.data_centre
+        if not any(group.data_centre == home for group in self._reachable_groups()):
+            return
         now = now_s()
         for remote in self._remote.values():
             channel = remote.channel
--- a/tests/fleet/test_dispatcher_links.py
+++ b/tests/fleet/test_dispatcher_links.py
@@ -260,12 +260,20 @@
         assert GROUP in links._reachable_groups()
 
 
-async def test_a_host_without_dispatchers_of_its_own_data_centre_uses_others():
+async def test_a_host_without_dispatchers_of_its_own_data_centre_uses_others(
+    monkeypatch,
+):
+    """It stays ready: the channel is kept though no job has come for some time."""
+    monkeypatch.setattr(dispatcher_links, "UNUSED_CHANNEL_S", 0.1)
+    monkeypatch.setattr(dispatcher_links, "CHECK_INTERVAL_S", 0.05)
     far = a_host("far", FAR)
     async with entry_host(far) as (links, _):
         with trio.fail_after(2.0):
             while EndpointGroup(FAR) not in links.capacity_reports():
                 await trio.sleep(0.01)
+        for _ in range(50):
+            await trio.sleep(0.01)
+            assert EndpointGroup(FAR) in links.capacity_reports()
 
 
 @pytest.mark.parametrize("jobs", [1, 10])
