Give the channels to remote dispatchers a module of their own

One fault found on the way: a host of another data centre that was gone when it was asked was tried again for ever; red before, test_a_host_elsewhere_that_is_gone_is_not_tried_for_ever.

--- a/tests/fleet/test_dispatcher_links.py
+++ b/tests/fleet/test_dispatcher_links.py
@@ -9,13 +9,9 @@
 import trio
 
 from currantwell.codes import ResultCode
-from currantwell.fleet import dispatcher_links
+from currantwell.fleet import dispatcher_links, remote_dispatchers
 from currantwell.fleet.channel import encode, open_channel
-from currantwell.fleet.dispatcher_links import (
-    ASK_TIMEOUT_S,
-    UNUSED_CHANNEL_S,
-    DispatcherLinks,
-)
+from currantwell.fleet.dispatcher_links import DispatcherLinks
 from currantwell.fleet.fleet_state import Ownership
 from currantwell.fleet.fleet_view import FleetView
 from currantwell.fleet.groups import EndpointGroup
@@ -28,6 +24,7 @@
     JobEnded,
     RunJob,
 )
+from currantwell.fleet.remote_dispatchers import ASK_TIMEOUT_S, UNUSED_CHANNEL_S
 from currantwell.ids import DataCentre, Epoch, HostId, Incarnation
 from tests.builders import a_submission, an_announcement
 from tests.test_dispatcher import Bench
@@ -228,7 +225,7 @@
 
 
 async def test_another_data_centre_is_asked_once_the_own_one_is_full(monkeypatch):
-    monkeypatch.setattr(dispatcher_links, "ASK_TIMEOUT_S", 0.5)
+    monkeypatch.setattr(remote_dispatchers, "ASK_TIMEOUT_S", 0.5)
     near, far = a_host("near", HOME), a_host("far", FAR)
     async with entry_host(near, far) as (links, locals_):
         near_local = locals_[near.host]
@@ -241,7 +238,7 @@
 
 
 async def test_an_unused_channel_to_another_data_centre_is_closed(monkeypatch):
-    monkeypatch.setattr(dispatcher_links, "UNUSED_CHANNEL_S", 0.2)
+    monkeypatch.setattr(remote_dispatchers, "UNUSED_CHANNEL_S", 0.2)
     monkeypatch.setattr(dispatcher_links, "CHECK_INTERVAL_S", 0.05)
     assert UNUSED_CHANNEL_S > 1.0
     near, far = a_host("near", HOME), a_host("far", FAR)
@@ -264,7 +261,7 @@
     monkeypatch,
 ):
     """It stays ready: the channel is kept though no job has come for some time."""
-    monkeypatch.setattr(dispatcher_links, "UNUSED_CHANNEL_S", 0.1)
+    monkeypatch.setattr(remote_dispatchers, "UNUSED_CHANNEL_S", 0.1)
     monkeypatch.setattr(dispatcher_links, "CHECK_INTERVAL_S", 0.05)
     far = a_host("far", FAR)
     async with entry_host(far) as (links, _):
@@ -284,7 +281,7 @@
         locals_[near.host].report = msgspec.structs.replace(
             locals_[near.host].report, free=0
         )
-        links._ask([GROUP])
+        links._remote.ask([GROUP])
         await trio.sleep(0.3)
         accepted = DispatcherLinks._answer_question
         DispatcherLinks._answer_question = lambda *args: None
@@ -364,3 +361,23 @@
         await trio.sleep(0.1)
         assert made[1].jobs == 1
     assert "no such endpoint" in caplog.text
+
+
+async def test_a_host_elsewhere_that_is_gone_is_not_tried_for_ever(monkeypatch):
+    monkeypatch.setattr(remote_dispatchers, "UNUSED_CHANNEL_S", 0.2)
+    monkeypatch.setattr(dispatcher_links, "CHECK_INTERVAL_S", 0.05)
+    attempts = []
+
+    async def refuse(address, ping_s):
+        attempts.append(address)
+        await trio.sleep(0.01)
+
+    near, far = a_host("near", HOME), a_host("far", FAR)
+    async with entry_host(near, far) as (links, _):
+        monkeypatch.setattr(remote_dispatchers, "open_channel", refuse)
+        await links.learn_capacity(15)
+        await trio.sleep(0.6)
+        assert far.address in attempts
+        attempts.clear()
+        await trio.sleep(0.3)
+        assert attempts == []
--- a/tests/fleet/test_slow_replies.py
+++ b/tests/fleet/test_slow_replies.py
@@ -9,12 +9,9 @@
 import trio.testing
 
 from currantwell.codes import ResultCode
-from currantwell.fleet import dispatcher_links
+from currantwell.fleet import remote_dispatchers
 from currantwell.fleet.channel import PING_INTERVAL_S, Channel
-from currantwell.fleet.dispatcher_links import (
-    IDLE_PING_INTERVAL_S,
-    DispatcherLinks,
-)
+from currantwell.fleet.dispatcher_links import DispatcherLinks
 from currantwell.fleet.groups import EndpointGroup
 from currantwell.fleet.job_router import (
     JobDone,
@@ -23,6 +20,7 @@
     JobRouter,
 )
 from currantwell.fleet.messages import CapacityReport, JobEnded, RunJob
+from currantwell.fleet.remote_dispatchers import IDLE_PING_INTERVAL_S
 from currantwell.ids import DataCentre, Epoch, HostId, Incarnation, Team
 from currantwell.submission import TaskSpec
 from tests.builders import a_submission
@@ -126,7 +124,7 @@
         async def connect(address, ping_s):
             return Channel(near, ping_s)
 
-        monkeypatch.setattr(dispatcher_links, "open_channel", connect)
+        monkeypatch.setattr(remote_dispatchers, "open_channel", connect)
         nursery.start_soon(dispatcher.run)
         links._apply_ownerships(nursery)
         await trio.sleep(2 * REPORT_INTERVAL_S)
