--- a/currantwell/turning_away.py
+++ b/currantwell/turning_away.py
@@ -26,8 +26,8 @@
     waiting : iterable of WaitingTask
         The waiting tasks in the order in which they are to start.
     capacity : float
-        Tasks of speed 1 that run at a time on all endpoints in use. No more than this
-        is done of what is ahead of a job, so that none is refused that would start.
+        Tasks of speed 1 that run at a time on all endpoints in use. The work ahead is
+        estimated, so a job may be refused that would have started in time.
     now_s : float
         Current time on the runtime's clock.
 
