--- a/review/3/case.py
+++ b/review/3/case.py
@@ -45,6 +45,8 @@
         self.platform = platform
         self.trouble = trouble
         self.give_up = False
+        self.asked_in_spell = 0
+        self.left_in_spell = 0
         self.random = random.Random(seed)
         self.jobs = 0
         self.left = 0
@@ -54,6 +56,7 @@
         """Have a share of the clients leave, for some seconds at a time."""
         while self.trouble:
             self.platform.record.note("clients begin to leave")
+            self.asked_in_spell = self.left_in_spell = 0
             self.give_up = True
             await trio.sleep(SPELL_S)
             self.give_up = False
@@ -69,6 +72,17 @@
                 job = f"{self.random.getrandbits(64):016x}"
                 nursery.start_soon(self.client, prefix + job, tasks, work_ms)
 
+    def leaves_now(self):
+        """Return whether the next client leaves; never more than the share do."""
+        if not self.give_up:
+            return False
+        self.asked_in_spell += 1
+        allowed = int(GIVE_UP_SHARE * self.asked_in_spell)
+        if self.left_in_spell >= allowed or self.random.random() >= 0.9:
+            return False
+        self.left_in_spell += 1
+        return True
+
     async def client(self, path, tasks, work_ms):
         """Send one job; if the client leaves, send it again later."""
         note = self.platform.record.note
@@ -76,7 +90,7 @@
         body = job_body(tasks, work_ms)
         entry = self.random.choice(self.platform.entries)
         note("client: POST", path, "to", entry.name)
-        leaves = self.give_up and self.random.random() < GIVE_UP_SHARE
+        leaves = self.leaves_now()
         if leaves:
             ip, _, port = entry.front_address.rpartition(":")
             async with await trio.open_tcp_stream(ip, int(port)) as stream:
