Log a stop that the link to a worker does not send

The log could not tell four causes apart: a stop that is never sent, one that the worker does not answer, a run that outlives its lease, and a dispatcher that is not told of the cancelling. Unanswered stops had a line (220), runs of other dispatchers too (223); a stop of an attempt that the link did not know was ignored without a word. It has event 224 now, which tells whether the start was yet to be sent.

No behaviour changes.

--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -336,6 +336,13 @@
     Level.WARNING,
     "An endpoint runs an attempt that this dispatcher did not start; it is stopped.",
 )
+ATTEMPT_STOP_UNSENT = _event(
+    224,
+    "attempt_stop_unsent",
+    Level.INFO,
+    "A stop is not sent, since the endpoint does not have the attempt; state tells "
+    "whether its start is yet to be sent or the attempt has ended.",
+)
 HINT_UNAVAILABLE = _event(
     401,
     "hint_unavailable",
