--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -340,8 +340,8 @@
     224,
     "attempt_stop_unsent",
     Level.INFO,
-    "A stop is not sent, since the endpoint does not have the attempt; state tells "
-    "whether its start is yet to be sent or the attempt has ended.",
+    "A stop is not sent, since the endpoint does not have the attempt: its start was "
+    "not sent yet and is withdrawn, or it has ended, as state tells.",
 )
 HINT_UNAVAILABLE = _event(
     401,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -331,11 +331,13 @@
     return AttemptEnded(AttemptRef(job, task, attempt), code, value)
 
 
-def an_announcement(endpoint="e-1", incarnation=None, slots=4):
+def an_announcement(
+    endpoint="e-1", incarnation=None, slots=4, url="http://127.0.0.1:1"
+):
     return Announcement(
         EndpointId(endpoint),
         Incarnation(incarnation or f"{endpoint}.1"),
-        "http://127.0.0.1:1",
+        url,
         DATA_CENTRE,
         slots=slots,
     )
--- a/tests/cooperative/test_worker_link.py
+++ b/tests/cooperative/test_worker_link.py
@@ -55,8 +55,8 @@
         self.deposed = True
 
 
-def a_start(name="j.0.0.0", attempt=1):
-    ref = AttemptRef(JobId("crew/valdres:j"), 0, attempt)
+def a_start(name="j.0.0.0", attempt=1, task=0, job="crew/valdres:j"):
+    ref = AttemptRef(JobId(job), task, attempt)
     return Start(ref, "crew", (name, "text"), 1.0)
 
 
@@ -238,6 +238,34 @@
     assert handler.results[0].code is ResultCode.TASK_STOPPED
 
 
+@pytest.mark.parametrize("adopted", [True, False])
+async def test_a_start_that_is_stopped_before_it_was_sent_is_not_sent(adopted):
+    # Guards against tasks that run on beside those of another dispatcher (TWICE).
+    worker = Worker()
+    worker.task_s = 30.0
+    async with linked(worker) as (link, handler):
+        if adopted:
+            await until(lambda: handler.reachable)
+        start = a_start()
+        link.send([start])
+        link.send((), [start.ref])
+        await until(lambda: handler.refused or worker.started)
+    assert handler.refused == [ResultCode.NOT_RUN_CANCELLED]
+    assert not worker.started
+
+
+async def test_a_start_beside_one_that_is_stopped_is_sent():
+    worker = Worker()
+    async with linked(worker) as (link, handler):
+        await until(lambda: handler.reachable)
+        first, second = a_start("j.0.0.0"), a_start("j.0.0.1", task=1)
+        link.send([first, second])
+        link.send((), [first.ref])
+        await until(lambda: handler.results)
+    assert worker.started == [("j.0.0.1", 1)]
+    assert handler.refused == [ResultCode.NOT_RUN_CANCELLED]
+
+
 async def test_runs_of_an_earlier_dispatcher_are_stopped_first():
     worker = Worker()
     worker.task_s = 30.0
