Answer each request that a stopping entry host has taken before it ends

Cause: the drain accepted requests until 0.65 of the grace time, whatever they needed, as long as an earlier one was under way, and ended the process with those that still ran. That suits requests of up to 1.5 s: at 3.9 s they have 1.5 s left until jobs have to be over, 0.9 of the grace time. No place compared a job with the time that was left, and none gave an outcome to jobs that were still running.

Change: the drain tells the entry service by when each job has to have an outcome. From then on a job is refused at once, as not run, if neither its deadline nor its estimate (the longest task of each wave, and the time that the route allows besides) comes before; one that is taken gets no later deadline. Jobs still running at that time are cancelled and answered with 504, so that their callers know at once that they may have run. For requests of 1.5 s nothing changes: the latest are taken 3.9 s after the SIGTERM, as before.

Ruled out: to accept no request of seconds from the SIGTERM on. The load balancer sends some for 2.5 s more, and most of them end in time.

Tests, red before: in test_programs.py, over real processes, requests with 3 s of work at 0.0, 0.5, 3.1, 3.2 and 3.3 s (the last three got no answer; now 504 for the one whose estimate is too low, and 503); in test_entry_service.py which jobs are taken and that all have an outcome. test_entry_drain.py checks that the drain sets the time.

--- a/currantwell/fleet/entry_drain.py
+++ b/currantwell/fleet/entry_drain.py
@@ -1,7 +1,8 @@
 """Stops an entry host within its grace time without cutting off a request.
 
-Invariant: new jobs are refused early enough that those accepted before can end within
-the grace time, whatever else the host still waits for.
+Invariants: new jobs are refused early enough that those accepted before can end within
+the grace time, whatever else the host still waits for; a job that lasts longer than
+expected has an outcome, and its caller the answer, before the host ends.
 """
 
 from collections.abc import Callable
@@ -30,6 +31,10 @@
     draining: bool
     closing: bool
     in_flight: int
+    jobs_cut_off: int
+
+    def end_jobs_by(self, stop_s: float) -> None:
+        """Give each job an outcome by a time."""
 
 
 class Server(Protocol):
@@ -84,6 +89,7 @@
         return not dispatch_ended.is_set() or entry.in_flight > 0
 
     entry.draining = True
+    entry.end_jobs_by(complete_until_s)
     server.announce_stop()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(end_dispatch)
@@ -93,8 +99,7 @@
         entry.closing = True
         while now_s() < complete_until_s and busy():
             await trio.sleep(POLL_S)
-        if busy():
-            events.DRAIN_EXPIRED.log(
-                jobs=entry.in_flight, dispatching=not dispatch_ended.is_set()
-            )
+        jobs = entry.in_flight + entry.jobs_cut_off
+        if busy() or jobs:
+            events.DRAIN_EXPIRED.log(jobs=jobs, dispatching=not dispatch_ended.is_set())
         nursery.cancel_scope.cancel()
--- a/currantwell/fleet/entry_service.py
+++ b/currantwell/fleet/entry_service.py
@@ -1,5 +1,9 @@
-"""The service of an entry host to its callers: routes, readiness and jobs."""
+"""The service of an entry host to its callers: routes, readiness and jobs.
 
+Invariant: a job that was accepted has an outcome before the host ends.
+"""
+
+import math
 from collections.abc import Sequence
 
 import trio
@@ -54,6 +58,8 @@
         Whether new jobs are refused.
     in_flight : int
         Number of jobs that are running.
+    jobs_cut_off : int
+        Number of jobs that were ended since the host is about to stop.
     """
 
     def __init__(
@@ -66,6 +72,9 @@
         self.draining = False
         self.closing = False
         self.in_flight = 0
+        self.jobs_cut_off = 0
+        self._stop_s = math.inf
+        self._job_scopes: set[trio.CancelScope] = set()
         self._view = view
         self._links = links
         self._router = router
@@ -109,6 +118,31 @@
         """Return the route of a request, None if no route matches."""
         return self._view.route(host, path)
 
+    def end_jobs_by(self, stop_s: float) -> None:
+        """Give each job an outcome by a time.
+
+        Jobs that are running then are cancelled. New ones are refused at once if they
+        are not expected to end before.
+
+        Parameters
+        ----------
+        stop_s : float
+            The time, on the runtime's clock.
+        """
+        self._stop_s = stop_s
+        for scope in self._job_scopes:
+            scope.deadline = stop_s
+
+    def _may_outlast_host(
+        self, route: Route, waves: Sequence[Sequence[TaskSpec]], deadline_s: float
+    ) -> bool:
+        """Return whether a job that begins now may still run when the host stops.
+
+        A job without estimates counts as a short one.
+        """
+        run_s = sum(_longest_s(tasks) for tasks in waves)
+        return min(deadline_s, now_s() + route.target_s + run_s) > self._stop_s
+
     async def run(
         self,
         identifier: str,
@@ -120,21 +154,39 @@
 
         Returns `JobIncomplete` instead of `JobNotRun` if an earlier wave has run.
         """
-        if self.closing:
+        if self.closing or self._may_outlast_host(route, waves, deadline_s):
             return JobNotRun("this host is about to stop", CLOSING_RETRY_AFTER_S)
+        outcome: Outcome = JobIncomplete("this host is about to stop")
+        scope = trio.CancelScope(deadline=self._stop_s)
+        self._job_scopes.add(scope)
         self.in_flight += 1
         try:
-            outcome: Outcome = JobDone()
-            for number, tasks in enumerate(waves):
-                order = _make_order(identifier, route, tasks, deadline_s)
-                outcome = await self._router.run(order)
-                if isinstance(outcome, JobNotRun) and number > 0:
-                    return JobIncomplete(outcome.detail)
-                if not isinstance(outcome, JobDone):
-                    break
-            return outcome
+            with scope:
+                outcome = await self._run_waves(
+                    identifier, route, waves, min(deadline_s, self._stop_s)
+                )
         finally:
             self.in_flight -= 1
+            self._job_scopes.discard(scope)
+        self.jobs_cut_off += scope.cancelled_caught
+        return outcome
+
+    async def _run_waves(
+        self,
+        identifier: str,
+        route: Route,
+        waves: Sequence[Sequence[TaskSpec]],
+        deadline_s: float,
+    ) -> Outcome:
+        outcome: Outcome = JobDone()
+        for number, tasks in enumerate(waves):
+            order = _make_order(identifier, route, tasks, deadline_s)
+            outcome = await self._router.run(order)
+            if isinstance(outcome, JobNotRun) and number > 0:
+                return JobIncomplete(outcome.detail)
+            if not isinstance(outcome, JobDone):
+                break
+        return outcome
 
     def record_outcome(
         self, identifier: str, team: Team, outcome: Outcome, arrived_s: float
@@ -158,12 +210,16 @@
 ) -> JobOrder:
     """Return the order that makes the router run tasks whose dependencies are done."""
     now = now_s()
-    longest_s = max((task.run_time_s or 0.0) for task in tasks)
     return JobOrder(
         identifier,
         route.team,
         tasks,
         deadline_s,
         start_by_s=now + START_BY_SHARE * (deadline_s - now),
-        target_completion_s=now + route.target_s + route.stretch * longest_s,
+        target_completion_s=now + route.target_s + route.stretch * _longest_s(tasks),
     )
+
+
+def _longest_s(tasks: Sequence[TaskSpec]) -> float:
+    """Return the longest estimated run time, 0 if there is no estimate."""
+    return max((task.run_time_s or 0.0) for task in tasks)
--- a/tests/cooperative/deployment.py
+++ b/tests/cooperative/deployment.py
@@ -19,7 +19,7 @@
 
 from tests.cooperative.worker import Worker, serving
 from tests.faulty_proxy import FaultyProxy
-from tests.kept_connection import KeptConnection
+from tests.kept_connection import REPLY_TIMEOUT_S, KeptConnection
 
 ROOT = Path(__file__).parent.parent.parent
 ZONES = ("valdres", "hallingdal", "gudbrandsdal")
@@ -287,15 +287,15 @@
         url = f"http://{machine.ip}:{TRAFFIC_PORT}{prefix}{identifier}"
         return identifier, await self.call("POST", url, body, timeout_s=timeout_s)
 
-    def kept_connection(self, machine):
+    def kept_connection(self, machine, timeout_s=REPLY_TIMEOUT_S):
         """Return a connection of a client to an entry host, not yet open."""
-        return KeptConnection((machine.ip, TRAFFIC_PORT))
+        return KeptConnection((machine.ip, TRAFFIC_PORT), timeout_s)
 
-    async def submit_over(self, connection, tasks=1, pause_s=0.0):
+    async def submit_over(self, connection, tasks=1, pause_s=0.0, estimated_ms=50):
         """Submit a best-effort job over a connection; return its id."""
         self.jobs += 1
         identifier = f"{self.jobs:016x}"
-        step = {"count": tasks, "cpu_millicores": 2000, "estimated_ms": 50}
+        step = {"count": tasks, "cpu_millicores": 2000, "estimated_ms": estimated_ms}
         job = {"task_spec": "text", "best_effort": True, "steps": [step]}
         body = json.dumps(job).encode()
         path = f"/p/{identifier}"
--- a/tests/cooperative/test_programs.py
+++ b/tests/cooperative/test_programs.py
@@ -251,6 +251,46 @@
             await trio.sleep(0)
 
 
+async def test_no_request_of_seconds_is_cut_by_the_end_of_its_host(tmp_path):
+    # Guards against requests that a stopping host takes and can't answer (LOST).
+    async with deployed(tmp_path) as deployment:
+        await deployment.put(5, timeout_ms=8_000)
+        stopping = deployment.entries[0]
+        await until_proven(deployment, stopping)
+        connections = [deployment.kept_connection(stopping, 8.0) for _ in range(5)]
+        for connection in connections:
+            await connection.connect()
+            await deployment.submit_over(connection)
+        for worker in deployment.workers:
+            worker.task_s = 3.0
+        replies = []
+
+        async def submit(connection, after_s, estimated_ms):
+            await trio.sleep(after_s)
+            job = await deployment.submit_over(connection, estimated_ms=estimated_ms)
+            replies.append((after_s, connection.replies.get(job, (None,))[0]))
+
+        async with trio.open_nursery() as nursery:
+            first, *others = connections
+            nursery.start_soon(submit, first, 0.0, 3_000)
+            await trio.sleep(0.1)
+            stopping.process.send_signal(signal.SIGTERM)
+            # The estimate of the third is too low.
+            estimates_ms = {0.5: 3_000, 3.1: 1_000, 3.2: 3_000, 3.3: 3_000}
+            for connection, (after_s, estimated_ms) in zip(
+                others, estimates_ms.items(), strict=True
+            ):
+                nursery.start_soon(submit, connection, after_s, estimated_ms)
+        assert sorted(replies) == [
+            (0.0, 200),
+            (0.5, 200),
+            (3.1, 504),
+            (3.2, 503),
+            (3.3, 503),
+        ]
+        assert await until_ended(stopping) == (0, "host_stopped")
+
+
 @pytest.mark.parametrize("program", ["entry", "control"])
 async def test_a_sighup_during_the_start_does_not_end_a_host(tmp_path, program):
     async with deployed(tmp_path) as deployment:
--- a/tests/fleet/test_entry_drain.py
+++ b/tests/fleet/test_entry_drain.py
@@ -19,7 +19,8 @@
 
     def __init__(self, requests_s=0.0, jobs_s=0.0, dispatch_s=0.0):
         self.draining = self.stop_announced = False
-        self.handed_over_s = self.closed_s = None
+        self.jobs_cut_off = 0
+        self.handed_over_s = self.closed_s = self.jobs_end_by_s = None
         self.started_s = trio.current_time()
         self.until_s = {"requests": requests_s, "jobs": jobs_s, "dispatch": dispatch_s}
 
@@ -42,6 +43,10 @@
     def in_flight(self):
         return int(self._lasts("jobs"))
 
+    def end_jobs_by(self, stop_s):
+        assert self.jobs_end_by_s is None
+        self.jobs_end_by_s = stop_s - self.started_s
+
     def announce_stop(self):
         self.stop_announced = True
 
@@ -55,6 +60,7 @@
         """Return the duration of the drain in seconds."""
         await drain_entry_host(self, self, self, self.hand_over, GRACE_S)
         assert self.draining and self.closing and self.stop_announced
+        assert self.jobs_end_by_s == pytest.approx(COMPLETE_SHARE * GRACE_S)
         return trio.current_time() - self.started_s
 
 
--- a/tests/fleet/test_entry_service.py
+++ b/tests/fleet/test_entry_service.py
@@ -55,6 +55,61 @@
     assert not router.orders
 
 
+LEFT_S = 2.0
+
+
+@pytest.mark.parametrize(
+    ("run_times_s", "timeout_s", "accepted"),
+    [
+        ([3.0], 8.0, False),
+        ([1.2, 1.2], 8.0, False),
+        ([1.0], 8.0, True),
+        ([None], 8.0, True),
+        ([3.0], 1.5, True),
+    ],
+)
+async def test_a_host_that_stops_takes_only_jobs_that_can_end_before(
+    run_times_s, timeout_s, accepted, autojump_clock
+):
+    # Guards against requests that are taken and cut without an answer (LOST).
+    waves = [[TaskSpec("crew", run_time_s=run_time_s)] for run_time_s in run_times_s]
+    router = Router([JobDone()] * len(waves))
+    entry = EntryService(None, None, router, Metrics())
+    now = trio.current_time()
+    entry.end_jobs_by(now + LEFT_S)
+    outcome = await entry.run("5c0e", a_route(), waves, now + timeout_s)
+    assert isinstance(outcome, JobDone if accepted else JobNotRun)
+    assert len(router.orders) == accepted * len(waves)
+    latest_s = now + min(LEFT_S, timeout_s)
+    assert all(order.deadline_s == latest_s for order in router.orders)
+
+
+async def test_jobs_are_answered_before_their_host_ends(autojump_clock):
+    # Guards against requests that end with their connection and no answer (LOST).
+    class LongRouter:
+        """Runs jobs that outlast the host."""
+
+        async def run(self, order):
+            await trio.sleep_forever()
+
+    entry = EntryService(None, None, LongRouter(), Metrics())
+    began_s = trio.current_time()
+    outcomes = []
+
+    async def run(timeout_s):
+        deadline_s = trio.current_time() + timeout_s
+        outcomes.append(await entry.run("5c0e", a_route(), WAVES, deadline_s))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run, 60.0)
+        await trio.sleep(1.0)
+        entry.end_jobs_by(began_s + 3.0)
+        nursery.start_soon(run, 60.0)
+    assert [type(outcome) for outcome in outcomes] == [JobIncomplete] * 2
+    assert trio.current_time() - began_s == pytest.approx(3.0)
+    assert (entry.in_flight, entry.jobs_cut_off) == (0, 2)
+
+
 @pytest.mark.parametrize(("after_s", "configured"), [(0.3, True), (9.0, False)])
 async def test_a_host_without_a_configuration_waits_for_it_part_of_a_callers_time(
     after_s, configured, autojump_clock
--- a/tests/kept_connection.py
+++ b/tests/kept_connection.py
@@ -12,6 +12,8 @@
     ----------
     address : tuple
         IP address and port of the host.
+    timeout_s : float
+        How long the client waits for a reply, in seconds.
 
     Attributes
     ----------
@@ -23,11 +25,12 @@
         Status and headers of each reply, by the name of the request.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, timeout_s=REPLY_TIMEOUT_S):
         self.open = False
         self.unanswered = []
         self.replies = {}
         self._address = address
+        self._timeout_s = timeout_s
         self._stream = None
 
     async def connect(self):
@@ -69,7 +72,7 @@
 
     async def _reply(self):
         data = b""
-        with trio.move_on_after(REPLY_TIMEOUT_S):
+        with trio.move_on_after(self._timeout_s):
             while True:
                 try:
                     part = await self._stream.receive_some()
