--- a/tests/cooperative/test_worker_link.py
+++ b/tests/cooperative/test_worker_link.py
@@ -225,6 +225,35 @@
     assert handler.refused == [ResultCode.NOT_RUN_NO_PRIMARY]
 
 
+async def test_a_start_is_reported_as_not_run_only_once_its_stop_is_answered():
+    # Guards against a late start that runs beside its task's next attempt (TWICE).
+    class LosesOrders(Worker):
+        """Loses the first start and the first two stops without carrying them out."""
+
+        lost_stops = 0
+
+        async def carry_out(self, path, order):
+            if path == "/-/run-start":
+                self.lose_answers_of = {path}
+                return 200, {}
+            if path == "/-/run-stop" and self.lost_stops < 2:
+                self.lost_stops += 1
+                self.lose_answers_of = {path}
+                return 200, {}
+            return await super().carry_out(path, order)
+
+    worker = LosesOrders()
+    async with linked(worker) as (link, handler):
+        await until(lambda: handler.reachable)
+        start = a_start()
+        link.send([start])
+        await until(lambda: "/-/run-start" in worker.calls)
+        link.send((), [start.ref])
+        await until(lambda: handler.refused)
+        assert worker.tombstones == {"j.0.0.0": 1}
+    assert handler.refused == [ResultCode.NOT_RUN_NO_PRIMARY]
+
+
 async def test_a_stop_is_repeated_until_it_is_answered():
     worker = Worker()
     worker.task_s = 30.0
