Keep a stop until the batch with its start, at the endpoints of our own protocol

A batch carries up to 256 starts and all stops. With more starts waiting at an endpoint, the stop of one that waits for the next batch went ahead of it; the endpoint ignores a stop of an attempt that it doesn't have, and the task ran on after its job was cancelled.

Change: a stop whose start still waits stays with it. Starts come before stops within a batch, as docs/ENDPOINTS.md says.

Test, red before: 257 starts and their stops are sent at once; the last task had no end within 20 s. It and its neighbour share the set-up of a link to an emulated endpoint now.

--- a/currantwell/endpoint_link.py
+++ b/currantwell/endpoint_link.py
@@ -217,7 +217,10 @@
     def _next_batch(self) -> StartBatch:
         starts = tuple(self._starts[:MAX_BATCH_STARTS])
         del self._starts[:MAX_BATCH_STARTS]
-        stops, self._stops = tuple(self._stops), []
+        # The endpoint ignores the stop of an attempt that it does not have yet.
+        unsent = {start.ref for start in self._starts}
+        stops = tuple(ref for ref in self._stops if ref not in unsent)
+        self._stops = [ref for ref in self._stops if ref in unsent]
         self.batches_sent += 1
         return StartBatch(self.epoch, self.batches_sent, starts, stops, self._acked_seq)
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,7 +1,10 @@
+from contextlib import asynccontextmanager
+
 import trio
 
+from currantwell.codes import ResultCode
 from currantwell.emulator import EmulatedEndpoint, EmulatorSettings
-from currantwell.endpoint_link import EndpointLink
+from currantwell.endpoint_link import MAX_BATCH_STARTS, EndpointLink
 from currantwell.endpoint_protocol import (
     AttemptRef,
     LeaseGrant,
@@ -33,9 +36,11 @@
         pass
 
 
-async def test_results_are_acknowledged_though_no_batch_follows():
-    emulator = EmulatedEndpoint(EmulatorSettings("e1", "valdres", ()))
-    server = HttpServer(emulator.app(), bind("127.0.0.1", 0))
+@asynccontextmanager
+async def linked(**settings):
+    """Yield an emulated endpoint, a link to it and the link's handler."""
+    emulator = EmulatedEndpoint(EmulatorSettings("e1", "valdres", (), **settings))
+    server = HttpServer(emulator.app(), bind("127.0.0.1", 0), graceful_s=0.1)
     url = f"http://127.0.0.1:{server.address[1]}"
     handler = Handler()
     with trio.fail_after(20):
@@ -45,9 +50,33 @@
             incarnation = emulator._announcement().incarnation
             link = EndpointLink("e1", incarnation, url, Epoch(1), handler)
             nursery.start_soon(link.run)
-            link.send([Start(AttemptRef("a/b:c", 0, 1), "receipt", None, 9.0)])
-            while not handler.results:
-                await trio.sleep(0.01)
-            await emulator.drain()
+            yield emulator, link, handler
             nursery.cancel_scope.cancel()
+
+
+def a_start(task, sleep_s=0.0):
+    return Start(AttemptRef("a/b:c", task, 1), "receipt", {"sleep_s": sleep_s}, 60.0)
+
+
+async def test_results_are_acknowledged_though_no_batch_follows():
+    async with linked() as (emulator, link, handler):
+        link.send([a_start(0)])
+        while not handler.results:
+            await trio.sleep(0.01)
+        await emulator.drain()
     assert len(handler.results) == 1
+
+
+async def test_a_stop_does_not_overtake_a_start_that_waits_for_a_batch():
+    # Guards against tasks that run on after their job was cancelled.
+    count = MAX_BATCH_STARTS + 1
+    async with linked(slots=count) as (_, link, handler):
+        starts = [a_start(task, sleep_s=60.0) for task in range(count)]
+        link.send(starts)
+        link.send((), [start.ref for start in starts])
+        while len(handler.results) < count:
+            await trio.sleep(0.01)
+    assert {line.code for line in handler.results} <= {
+        ResultCode.TASK_STOPPED,
+        ResultCode.NOT_RUN_CANCELLED,
+    }
