--- a/currantwell/fleet/job_router.py
+++ b/currantwell/fleet/job_router.py
@@ -23,6 +23,7 @@
 from .return_schedule import ReturnSchedule
 
 __all__ = [
+    "MAX_LEASE_S",
     "JobDone",
     "JobFailed",
     "JobIncomplete",
@@ -31,8 +32,9 @@
     "JobRouter",
 ]
 
-# The lease of an endpoint, 0.6 s, 2% for a slow clock, and 0.1 s until its expiry is
-# noticed.
+# Longest lease of an endpoint. A part of a lost dispatcher waits for its end.
+MAX_LEASE_S = 0.6
+# The longest lease, 2% for a slow clock, and 0.1 s until its expiry is noticed.
 LEASE_EXPIRY_WAIT_S = 0.72
 # Shortest delay before a refused client retries; a load peak lasts for seconds.
 RETRY_AFTER_S = 1.0
