--- a/tests/cooperative/test_soak.py
+++ b/tests/cooperative/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.cooperative.soak import run_seed
+from tests.cooperative.soak import long_durations, run_seed
 
 # Every seed that has failed stays here, with a line on its cause; none has failed yet.
 REGRESSIONS = ()
@@ -13,3 +13,8 @@
 async def test_the_promises_are_kept_under_faults(seed, tmp_path):
     violations, log, _ = await run_seed(seed, SECONDS, tmp_path)
     assert not violations, "\n".join(log)
+
+
+async def test_the_promises_are_kept_under_faults_by_tasks_of_seconds(tmp_path):
+    violations, log, _ = await run_seed(1, SECONDS, tmp_path, long_durations(1))
+    assert not violations, "\n".join(log)
