Reply to callers that wait for an answer before a stopping host ends

A caller may wait for the answer of a job for up to 30 s. A host that was told to stop served on for `drain_timeout_s` and then closed the connections of those who still waited ("Server disconnected without sending a response"), both after POST and GET. The jobs themselves are durable and nothing was lost; the caller could not know that.

Change: 0.8 of the time to drain after the SIGTERM, waits end and their callers get the state of the job, as at the end of `wait_s`.

Test, red before: over a real process with a `drain_timeout_s` of 2 s, a job of 10 s, one caller who submitted it and one who asked for it.

--- a/currantwell/host.py
+++ b/currantwell/host.py
@@ -9,7 +9,7 @@
 from . import events
 from .admin_api import AdminApi
 from .auth import OpenAuthenticator, load_tokens
-from .clock import SystemCalendar
+from .clock import SystemCalendar, now_s
 from .control import Control
 from .control_plane import build_control_plane
 from .control_status import ControlStatus
@@ -34,6 +34,9 @@
 
 __all__ = ["Host", "run_host"]
 
+# Share of the time to drain after which callers no longer wait for an answer.
+WAIT_SHARE = 0.8
+
 
 class Host:
     """One entry host.
@@ -104,9 +107,11 @@
         return NoLoad().load() if dispatcher is None else dispatcher.load()
 
     async def drain(self) -> None:
-        """Report not ready, to prepare a graceful shutdown."""
+        """Report not ready and limit waits, to prepare a graceful shutdown."""
         if self._api is not None:
             self._api.ready = False
+            wait_s = WAIT_SHARE * self.settings.drain_timeout_s
+            self._api.end_waits_by(now_s() + wait_s)
 
     def _http_parts(self, gateway: JobGateway, control: Control) -> HttpParts:
         settings = self.settings
--- a/currantwell/http_api.py
+++ b/currantwell/http_api.py
@@ -5,9 +5,11 @@
 """
 
 import dataclasses
+import math
 from typing import Any
 
 import msgspec
+import trio
 from starlette.applications import Starlette
 from starlette.exceptions import HTTPException
 from starlette.requests import Request
@@ -102,6 +104,22 @@
         self._auth = self._parts.authenticator
         self._endpoint_budget = BodyBudget()
         self.ready = True
+        self._stop_s = math.inf
+        self._wait_scopes: set[trio.CancelScope] = set()
+
+    def end_waits_by(self, stop_s: float) -> None:
+        """Reply by a time to all callers that wait for an answer.
+
+        Those whose job runs on then get its state.
+
+        Parameters
+        ----------
+        stop_s : float
+            The time, on the runtime's clock.
+        """
+        self._stop_s = stop_s
+        for scope in self._wait_scopes:
+            scope.deadline = stop_s
 
     def app(self) -> Starlette:
         """Return the ASGI application."""
@@ -155,7 +173,7 @@
         """Return the answer of a job, waiting up to ``wait_s`` seconds for it."""
         wait_s = _wait_s(request)
         team, key = self._job_identity(request)
-        return reply(await self._router.wait(team, key, wait_s))
+        return reply(await self._wait(team, key, wait_s))
 
     async def delete_job(self, request: Request) -> Response:
         """Cancel a job."""
@@ -231,9 +249,21 @@
         self._team(request, submission.team)
         result = await self._router.submit(submission)
         if isinstance(result, Answer) and result.code is ResultCode.RUNNING and wait_s:
-            result = await self._router.wait(submission.team, submission.key, wait_s)
+            result = await self._wait(submission.team, submission.key, wait_s)
         return result
 
+    async def _wait(self, team: Team, key: JobKey, wait_s: float) -> Answer | Refusal:
+        """Wait for the answer of a job, but not beyond the end of this host."""
+        result: Answer | Refusal | None = None
+        scope = trio.CancelScope(deadline=self._stop_s)
+        self._wait_scopes.add(scope)
+        try:
+            with scope:
+                result = await self._router.wait(team, key, wait_s)
+        finally:
+            self._wait_scopes.discard(scope)
+        return result or await self._router.wait(team, key, 0.0)
+
     def _body(self, request: Request) -> Any:
         return read_body(request, self._parts.budget, self._caller(request))
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -186,6 +186,36 @@
         assert host.popen.returncode == 0
 
 
+async def test_a_host_that_stops_answers_a_caller_whose_job_takes_longer(tmp_path):
+    # Guards against requests that a host takes and that end with their connection.
+    with (
+        one_host(tmp_path, endpoints=1, drain_timeout_s=2.0) as host,
+        trio.fail_after(20.0),
+    ):
+        client = Client(host.url)
+        while not await client.endpoints():
+            await trio.sleep(0.05)
+        key = await client.new_key()
+        job = msgspec.structs.replace(a_submission(sleep_s=10.0), key=key)
+        answers = []
+
+        async def submit():
+            answers.append(await client.submit(job, 15.0))
+
+        async def wait():
+            answers.append(await client.wait(job.team, key, 15.0))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(submit)
+            while not (await client.status()).load.running:
+                await trio.sleep(0.05)
+            nursery.start_soon(wait)
+            await trio.sleep(0.2)
+            host.signal(signal.SIGTERM)
+        await client.close()
+    assert [answer.code for answer in answers] == [ResultCode.RUNNING] * 2
+
+
 def start_until_importing(library, *arguments):
     """Start a process and return it while it imports a library."""
     process = subprocess.Popen(
