Count ended jobs by kind, work shown and outcome, and log the counts

jobs_ended_total counts jobs, or parts of jobs, at their dispatcher by kind, by the work that their tasks showed (as a power of two of core-seconds at speed 1, so that a job that declared too little counts as large as it is) and by how they ended: complete, refused on arrival, without prospect, not started, late attempt, late move, deadline, cancelled, failed.

Refusals that an entry host gives before it asks a dispatcher are not in these counts; they are in refusals and answers by outcome as before.

--- a/currantwell/dispatcher.py
+++ b/currantwell/dispatcher.py
@@ -35,6 +35,7 @@
 from .errors import Deposed
 from .ids import DataCentre, EndpointId, Epoch, Incarnation, JobId, job_id
 from .job_log import JobLog
+from .job_outcomes import JobEnd
 from .jobs import Job, JobTable, Task
 from .kernel import ServiceName
 from .link import MakeLink
@@ -282,7 +283,7 @@
         if job not in self.table.jobs:
             return self._job_not_found(job)
         with self._unless_stopped():
-            await self._cancel_job(job, ResultCode.JOB_CANCELLED)
+            await self._cancel_job(job, ResultCode.JOB_CANCELLED, JobEnd.CANCELLED)
             await self._acceptance_durable[job].wait()
         return self._answer(job)
 
@@ -451,7 +452,8 @@
                 deadline_left_s=round(left_s, 3),
             )
             if decision is AttemptDecision.ABANDON_JOB:
-                self._cancel_remaining(job, ResultCode.DEADLINE_PASSED)
+                code = ResultCode.DEADLINE_PASSED
+                self._cancel_remaining(job, code, JobEnd.LATE_ATTEMPT)
             else:
                 self._restart_attempt(endpoint, ref, report, decision)
 
@@ -535,9 +537,14 @@
         if self._job_log.second_copy_missing():
             detail = "no second host could hold the job"
             return Refusal(ResultCode.NOT_RUN_SECOND_COPY_MISSING, detail)
-        return self._scheduler.check_admission(
+        refusal = self._scheduler.check_admission(
             self._job_request(job, submission), now_s()
         )
+        if refusal is not None:
+            tasks = submission.tasks
+            work_core_s = self._scheduler.work_core_s(job, tasks)
+            self._metrics.outcomes.record(tasks[0].kind, work_core_s, JobEnd.REFUSED)
+        return refusal
 
     def _accept(self, job: JobId, submission: Submission, digest: str) -> None:
         unix_s = self._calendar.unix_s()
@@ -580,18 +587,21 @@
             return Answer(job.submission.key, job.state, ResultCode.RUNNING)
         return job.answer()
 
-    async def _cancel_job(self, identifier: JobId, code: ResultCode) -> None:
+    async def _cancel_job(
+        self, identifier: JobId, code: ResultCode, end: JobEnd
+    ) -> None:
         job = self.table.jobs[identifier]
         if job.code is None and job.cancel_code is None:
-            self._cancel_remaining(job, code)
+            self._cancel_remaining(job, code, end)
         await self._enqueue([]).wait()
 
-    def _cancel_remaining(self, job: Job, code: ResultCode) -> None:
+    def _cancel_remaining(self, job: Job, code: ResultCode, end: JobEnd) -> None:
         """Cancel what is left of a job.
 
         No more tasks are started. Running attempts are stopped, with one message to
         each endpoint, except those whose restart rule is `NEVER`.
         """
+        self._record_job_end(job, end)
         self._enqueue([JobCancelled(job.id, code)])
         self._scheduler.remove(job.id)
         stops: dict[EndpointId, list[AttemptRef]] = {}
@@ -613,8 +623,18 @@
         code = ResultCode.COMPLETE
         if job.cannot_complete:
             code = job.cancel_code or ResultCode.JOB_FAILED
+        if job.cancel_code is None:
+            complete = code is ResultCode.COMPLETE
+            self._record_job_end(job, JobEnd.COMPLETE if complete else JobEnd.FAILED)
+        self._scheduler.forget_progress(job.id)
         self._enqueue([JobClosed(job.id, code)])
 
+    def _record_job_end(self, job: Job, end: JobEnd) -> None:
+        """Count a job by its outcome and by the work that it showed."""
+        tasks = job.submission.tasks
+        work_core_s = self._scheduler.work_core_s(job.id, tasks)
+        self._metrics.outcomes.record(tasks[0].kind, work_core_s, end)
+
     def _publish_answer(self, job: JobId) -> None:
         """Wake the callers that wait for an answer whose record is committed."""
         accepted_unix_s = self.table.jobs[job].accepted_unix_s
@@ -670,7 +690,7 @@
     def _requeue_or_close(self, job: Job, indices: Sequence[int]) -> None:
         """Queue tasks that wait again after an attempt, or close the job."""
         if job.cancel_code is None and job.cannot_complete:
-            self._cancel_remaining(job, ResultCode.JOB_FAILED)
+            self._cancel_remaining(job, ResultCode.JOB_FAILED, JobEnd.FAILED)
             return
         retries = {
             index: job.tasks[index].attempt + 1
@@ -718,9 +738,11 @@
         """Cancel each job that expires before a time, or is certain to, at once."""
         while True:
             now = now_s()
-            expired = self._scheduler.pop_expired_jobs(now)
-            for job in expired + self._scheduler.jobs_without_prospect(now):
-                await self._cancel_job(job, ResultCode.DEADLINE_PASSED)
+            code = ResultCode.DEADLINE_PASSED
+            for job in self._scheduler.pop_expired_jobs(now):
+                await self._cancel_job(job, code, self._expiry_of(job))
+            for job in self._scheduler.jobs_without_prospect(now):
+                await self._cancel_job(job, code, JobEnd.NO_PROSPECT)
             if now >= end_s:
                 return
             next_s = max(self._scheduler.next_expiry_s(), now + MIN_EXPIRY_INTERVAL_S)
@@ -728,6 +750,15 @@
                 next_s = min(next_s, now + PROSPECT_INTERVAL_S)
             await trio.sleep_until(min(next_s, end_s))
 
+    def _expiry_of(self, identifier: JobId) -> JobEnd:
+        """Return which of its limits a waiting job has reached."""
+        job = self.table.jobs[identifier]
+        if self._calendar.unix_s() >= job.deadline_unix_s:
+            return JobEnd.DEADLINE
+        if all(task.attempt == 0 for task in job.tasks):
+            return JobEnd.NOT_STARTED
+        return JobEnd.LATE_MOVE
+
     def _stop_stragglers(self, now: float) -> None:
         """Stop straggling attempts; their tasks start again once they have ended."""
         for ref in self._scheduler.pick_stragglers(now):
@@ -852,7 +883,7 @@
             if job.code is not None:
                 continue
             if job.cancel_code is None and job.cannot_complete:
-                self._cancel_remaining(job, ResultCode.JOB_FAILED)
+                self._cancel_remaining(job, ResultCode.JOB_FAILED, JobEnd.FAILED)
             else:
                 self._close_if_finished(job)
 
--- a/currantwell/events.py
+++ b/currantwell/events.py
@@ -428,6 +428,13 @@
     Level.INFO,
     "An attempt that would end too late at its endpoint is stopped to be restarted.",
 )
+JOB_OUTCOMES = _event(
+    812,
+    "job_outcomes",
+    Level.INFO,
+    "Jobs and parts of jobs that ended at this host's dispatchers since it started: "
+    "kind, upper bound of the work in core-seconds at speed 1, outcome and number.",
+)
 REQUEST_MALFORMED = _event(
     806, "request_malformed", Level.WARNING, "A request or a reply is malformed."
 )
--- a/currantwell/job_progress.py
+++ b/currantwell/job_progress.py
@@ -32,6 +32,7 @@
 
     def __init__(self) -> None:
         self._running: dict[JobId, dict[int, _RunningTask]] = {}
+        self._complete_s: dict[JobId, dict[int, float]] = {}
 
     def record(
         self, ref: AttemptRef, endpoint: EndpointId, spec: TaskSpec, run_s: float
@@ -47,6 +48,28 @@
         if not running:
             self._running.pop(ref.job, None)
 
+    def record_complete(self, ref: AttemptRef, run_s: float) -> None:
+        """Record the run time of a task that is complete."""
+        self._complete_s.setdefault(ref.job, {})[ref.task] = run_s
+
+    def forget_job(self, job: JobId) -> None:
+        """Forget all tasks of a job."""
+        self._running.pop(job, None)
+        self._complete_s.pop(job, None)
+
+    def run_times_s(self, job: JobId) -> dict[int, float]:
+        """Return the run times that a job's tasks showed.
+
+        Returns
+        -------
+        dict of int to float
+            Run time in seconds at speed 1 of each task that runs or is complete, by
+            the index of the task.
+        """
+        running = self._running.get(job, {})
+        complete_s = self._complete_s.get(job, {})
+        return {index: task.run_s for index, task in running.items()} | complete_s
+
     def run_time_s(
         self, job: JobId, spec: TaskSpec, other_than: EndpointId | None = None
     ) -> float | None:
--- a/currantwell/metrics.py
+++ b/currantwell/metrics.py
@@ -17,6 +17,7 @@
 from .codes import ResultCode
 from .ids import JobId
 from .job_log import JobLog
+from .job_outcomes import JobOutcomes
 from .kernel import ServiceName
 from .records import Record
 
@@ -118,9 +119,16 @@
 
 
 class Metrics:
-    """Durations and counts of a host."""
+    """Durations and counts of a host.
+
+    Attributes
+    ----------
+    outcomes : JobOutcomes
+        Counts of ended jobs.
+    """
 
     def __init__(self) -> None:
+        self.outcomes = JobOutcomes()
         self._series = {timing: _Series() for timing in Timing}
         self._refusals: collections.Counter[ResultCode] = collections.Counter()
         self._answers: collections.Counter[str] = collections.Counter()
@@ -182,6 +190,13 @@
             f'currantwell_late_attempts_total{{decision="{decision}"}} {count}'
             for decision, count in sorted(self._late_attempts.items())
         )
+        meaning = "Jobs ended, by kind, upper bound of the work and outcome."
+        lines.extend(_heading("jobs_ended_total", "counter", meaning))
+        lines.extend(
+            f'currantwell_jobs_ended_total{{kind="{kind}",core_s="{size_core_s:g}",'
+            f'outcome="{end.name}"}} {count}'
+            for (kind, size_core_s, end), count in self.outcomes.counts().items()
+        )
         for name, (meaning, label, values) in self._counters.items():
             lines.extend(_heading(name, "counter", meaning))
             lines.extend(
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -12,6 +12,7 @@
 import dataclasses
 import heapq
 import math
+import statistics
 from collections.abc import Mapping, Sequence
 
 from .answers import Refusal
@@ -280,9 +281,11 @@
             return
         self._capacity_changed()
         self._progress.forget(ref)
+        load = self._endpoints.get(endpoint)
         if code is ResultCode.COMPLETE:
             self._pop_observed_run_time(ref.job, ref.task)
-        load = self._endpoints.get(endpoint)
+            if load is not None:
+                self._progress.record_complete(ref, run_s * load.speed)
         if load is not None:
             load.remove_running(ref)
         stopped_late = code is ResultCode.TASK_STOPPED and run_s > task.estimate_s
@@ -491,6 +494,35 @@
             self._policies.ordering.discard(task)
             self._backlog.remove(task)
 
+    def work_core_s(self, job: JobId, tasks: Sequence[TaskSpec]) -> float:
+        """Return the work of a job in core-seconds at speed 1.
+
+        It is the work that its tasks showed, and by that of tasks like them, or by
+        their estimates, the work of the others.
+        """
+        shown_s = self._progress.run_times_s(job)
+        total_core_s = 0.0
+        for index, spec in enumerate(tasks):
+            run_s = shown_s.get(index)
+            if run_s is None:
+                alike = [
+                    shown_s[other]
+                    for other, other_spec in enumerate(tasks)
+                    if other in shown_s
+                    and run_time_class(other_spec) == run_time_class(spec)
+                ]
+                run_s = (
+                    statistics.median(alike)
+                    if alike
+                    else self._policies.estimates.estimate_s(spec.kind, spec.run_time_s)
+                )
+            total_core_s += run_s * spec.processors
+        return total_core_s
+
+    def forget_progress(self, job: JobId) -> None:
+        """Forget what the tasks of a job that has ended showed."""
+        self._progress.forget_job(job)
+
     def explain(self, job: JobId) -> list[str]:
         """Return lines that explain where the tasks of a job were placed or why not."""
         reason = self._decisions.wait_reason(job).value
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -20,7 +20,9 @@
 from currantwell.errors import Deposed, StorageFailed
 from currantwell.ids import EndpointId, Epoch, Incarnation
 from currantwell.job_log import LocalJobLog
+from currantwell.job_outcomes import JobEnd
 from currantwell.journal import MemoryJournal
+from currantwell.metrics import Metrics
 from currantwell.progress import AttemptProgress
 from currantwell.records import JobCancelled, JobClosed, encode_record
 from currantwell.scheduler import Scheduler
@@ -100,6 +102,7 @@
         self.links = {}
         self.drained_endpoints = set()
         self.scheduler = Scheduler(policies or baseline_policies(LeastLoaded()))
+        self.metrics = Metrics()
         self.dispatcher = Dispatcher(
             DATA_CENTRE,
             Epoch(2),
@@ -107,6 +110,7 @@
             self.scheduler,
             SystemCalendar(),
             DispatcherLimits(endpoint_lease_s=8.0, **limits),
+            self.metrics,
             make_link=self.make_link,
             drains=self,
         )
@@ -114,6 +118,9 @@
     def drained(self):
         return self.drained_endpoints
 
+    def outcomes(self):
+        return dict(self.metrics.outcomes.counts())
+
     def make_link(self, endpoint, incarnation, url, epoch, handler):
         link = FakeLink(endpoint, incarnation, url, epoch, handler)
         self.links[incarnation] = link
@@ -414,6 +421,57 @@
         assert attempts == ([1] if abandoned else [1, 2])
 
 
+async def test_a_complete_job_is_counted_by_the_work_that_it_showed(nursery, clock):
+    bench, job = Bench(), a_submission(tasks=2, run_time_s=0.1)
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    await bench.dispatcher.submit(job)
+    await settle()
+    for number, run_s in enumerate((1.2, 1.5)):
+        ref = AttemptRef(a_job_id(job), number, 1)
+        line = ResultLine(number + 1, ref, ResultCode.COMPLETE, run_s=run_s)
+        await bench.link.results(line)
+    assert bench.outcomes() == {("check_in", 4.0, JobEnd.COMPLETE): 1}
+
+
+async def test_an_abandoned_job_is_counted_by_what_its_running_task_shows(
+    nursery, clock
+):
+    bench = Bench()
+    job = a_submission(
+        tasks=3,
+        restart=RestartRule.IF_OVER,
+        run_time_s=2.0,
+        deadline_s=2.0,
+        give_up_early=True,
+    )
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(E1)
+    await bench.dispatcher.submit(job)
+    await settle()
+    ref = AttemptRef(a_job_id(job), 0, 1)
+    late = {ref: AttemptProgress(0.5, 4.5, 4.5)}
+    bench.dispatcher.progress_received(E1.endpoint, late)
+    bench.dispatcher.progress_received(E1.endpoint, late)
+    assert bench.outcomes() == {("check_in", 16.0, JobEnd.LATE_ATTEMPT): 1}
+
+
+@pytest.mark.parametrize(
+    ("start_within_s", "end"), [(0.5, JobEnd.NOT_STARTED), (None, JobEnd.DEADLINE)]
+)
+async def test_a_job_that_waits_in_vain_is_counted_by_the_limit_that_it_reached(
+    nursery, clock, start_within_s, end
+):
+    bench = Bench()
+    job = a_submission(run_time_s=0.3, deadline_s=2.0, start_within_s=start_within_s)
+    await nursery.start(bench.dispatcher.run)
+    await bench.dispatcher.announce(msgspec.structs.replace(E1, slots=1))
+    await bench.dispatcher.submit(a_submission("first"))
+    await bench.dispatcher.submit(job)
+    await trio.sleep(2.5)
+    assert bench.outcomes() == {("check_in", 0.5, end): 1}
+
+
 @pytest.mark.parametrize(("left_s", "moved"), [(2.5, True), (9.0, False)])
 async def test_an_attempt_moves_to_a_faster_endpoint_that_can_end_it_in_time(
     nursery, clock, left_s, moved
