Leave scarce fast endpoints to the tasks that need them

What callers saw: long jobs were given up since the tasks that a fast endpoint would have ended in time were started on a slow one, by an estimate that said so already, or waited while short tasks took the fast endpoints.

Cause: a task waited for a faster endpoint for 15% of its time at most and then took any, and every task took the fastest free endpoint, also those that a slow one ends by the target.

Change: a task waits for as long as only a faster endpoint is expected to end it by the deadline; what a slow one may end waits for the same share as before. While less than half of the capacity of the fastest endpoints is free, a task goes to the slowest endpoint that ends it by its job's target.

Two assertions of test_placement said that a task starts on an endpoint that can't end it by the estimate once it has waited for 0.21 s. They hold later now: it waits until the fastest endpoint can't end it either, and starts then. A new test has the old bound for a task that the slow endpoint may end.

--- a/currantwell/placement.py
+++ b/currantwell/placement.py
@@ -7,13 +7,20 @@
 
 A task whose caller waits for the answer does not start on an endpoint that is unlikely
 to end it by the deadline while a faster one is busy: it waits for that one, for a
-bounded time.
+bounded time, or for as long as only that one is expected to end it in time.
+
+Fast endpoints that are nearly all busy are left to the tasks that need them: other
+tasks go to slower ones that end them by their job's target.
 """
 
 import math
 from collections.abc import Sequence
 
-from .deadline_speed import attainable_speed_for_deadline
+from .deadline_speed import (
+    CALLS_S,
+    SIMILAR_SPEED_SHARE,
+    attainable_speed_for_deadline,
+)
 from .endpoint_load import EndpointLoad
 from .policies import Choice, Reason
 from .presets import Preset
@@ -29,6 +36,8 @@
 # Share of the time to its deadline for which a task waits for an endpoint that is fast
 # enough.
 DEADLINE_WAIT_SHARE = 0.15
+# Fast endpoints are scarce while less than this share of their capacity is free.
+SCARCE_SHARE = 0.5
 
 
 class TailAwarePlacement:
@@ -57,6 +66,7 @@
         self._max_wait_s = 0.0
         self._endpoints: Sequence[EndpointLoad] = ()
         self._fastest_speed = 0.0
+        self._fastest: Sequence[EndpointLoad] = ()
 
     def prepare(
         self, endpoints: Sequence[EndpointLoad], preset: Preset, now_s: float
@@ -75,6 +85,10 @@
         self._fastest_speed = max(
             (load.speed for load in usable if load.usable()), default=0.0
         )
+        least_speed = SIMILAR_SPEED_SHARE * self._fastest_speed
+        self._fastest = [
+            load for load in usable if load.usable() and load.speed >= least_speed
+        ]
 
     def choose(
         self, task: WaitingTask, candidates: Sequence[EndpointLoad], now_s: float
@@ -96,13 +110,15 @@
     ) -> Choice:
         deadline_speed = _deadline_speed(task, self._fastest_speed, now_s)
         if self._use_slack:
-            job_end_speed = self._speed_by_job_end(task, now_s)
-            slowest = _slowest(candidates, max(job_end_speed, deadline_speed))
+            speed = self._speed_by_job_end(task, now_s)
+            if self._fastest_are_scarce(task):
+                speed = min(speed, self._speed_by_target(task, now_s))
+            slowest = _slowest(candidates, max(speed, deadline_speed))
             if slowest is not None:
                 return Choice(slowest, Reason.SLACK)
         fastest = candidates[0]
         if fastest.speed < deadline_speed and self._waits_for_deadline(
-            task, deadline_speed, now_s
+            task, fastest, deadline_speed, now_s
         ):
             return Choice(None, Reason.WAIT_FOR_DEADLINE)
         if self._may_wait(task, now_s) and self._ends_sooner_if_waits(task, fastest):
@@ -125,11 +141,39 @@
         )
         return task.estimate_s / max(1e-9, slack_s)
 
+    def _fastest_are_scarce(self, task: WaitingTask) -> bool:
+        """Return whether the fastest endpoints have little room for tasks like one."""
+        free = sum(load.free_for(task.spec) for load in self._fastest)
+        slots = sum(load.slots_for(task.spec) for load in self._fastest)
+        return free < SCARCE_SHARE * slots
+
+    def _speed_by_target(self, task: WaitingTask, now_s: float) -> float:
+        """Return the lowest speed that ends a task by its job's target.
+
+        It is 0 if no endpoint does, and infinite if there is no target.
+        """
+        queued_job = task.queued_job
+        if queued_job is None or math.isinf(queued_job.target_completion_s):
+            return math.inf
+        left_s = queued_job.target_completion_s - now_s - CALLS_S
+        if task.estimate_s > self._fastest_speed * left_s:
+            return 0.0
+        return task.estimate_s / left_s
+
     def _waits_for_deadline(
-        self, task: WaitingTask, speed: float, now_s: float
+        self, task: WaitingTask, fastest_free: EndpointLoad, speed: float, now_s: float
     ) -> bool:
         """Return whether a task waits for a busy endpoint that has a given speed."""
-        if not self._wait_faster or self._fastest_speed < speed:
+        if not self._wait_faster:
+            return False
+        left_s = task.deadline_s - now_s - CALLS_S
+        if (
+            fastest_free.speed * left_s
+            < task.estimate_s
+            <= self._fastest_speed * left_s
+        ):
+            return True
+        if self._fastest_speed < speed:
             return False
         if task.waits_for_faster_since_s is None:
             task.waits_for_faster_since_s = now_s
