Start jobs first that most endpoints may soon be too slow for

Cause: jobs came first that an endpoint of speed 1 may end too late, but no endpoint has speed 1: three in four have 0.75, the others 1.5, since speeds are relative to their mean. A job that needed a speed between 0.75 and 1 was not safe on most endpoints and still ranked by its size, 1.8 s behind small jobs, which is more than its whole time. The class: a constant that stands for a measured quantity, and was right only while all endpoints were alike.

Change: the usual speed is the median of the usable endpoints.

--- a/currantwell/deadline_speed.py
+++ b/currantwell/deadline_speed.py
@@ -4,15 +4,17 @@
 """
 
 import math
+import statistics
+from collections.abc import Sequence
 
 __all__ = [
+    "CALLS_S",
     "SIMILAR_SPEED_SHARE",
-    "USUAL_SPEED",
     "attainable_speed_for_deadline",
     "speed_for_deadline",
+    "usual_speed",
 ]
 
-USUAL_SPEED = 1.0
 # Allows for run times that exceed their estimates.
 RUN_TIME_MARGIN_FACTOR = 1.5
 # Endpoints above this share of the highest speed count as equally fast, since estimated
@@ -22,6 +24,22 @@
 CALLS_S = 0.02
 
 
+def usual_speed(speeds: Sequence[float]) -> float:
+    """Return the speed that half of the endpoints have at least.
+
+    Parameters
+    ----------
+    speeds : sequence of float
+        Speeds of the usable endpoints.
+
+    Returns
+    -------
+    float
+        The speed; 1 if there are no endpoints.
+    """
+    return statistics.median(speeds) if speeds else 1.0
+
+
 def speed_for_deadline(estimate_s: float, deadline_s: float, now_s: float) -> float:
     """Return the lowest speed of an endpoint that is likely to end a task in time.
 
--- a/currantwell/ordering.py
+++ b/currantwell/ordering.py
@@ -14,6 +14,7 @@
 from bisect import insort
 from collections.abc import Iterable, Iterator, Sequence
 
+from .endpoint_load import EndpointLoad
 from .ids import JobId, Team
 from .quotas import QuotaSource
 from .scheduler_types import Shape, WaitingTask
@@ -132,6 +133,9 @@
         self._slots = 1
         self._refreshed_s = -math.inf
 
+    def prepare(self, endpoints: Sequence[EndpointLoad]) -> None:
+        """No-op: this ordering does not depend on the endpoints."""
+
     def add(self, tasks: Sequence[WaitingTask], now_s: float) -> None:
         """Add tasks of one job."""
         ordered = list(reversed(tasks))
--- a/currantwell/policies.py
+++ b/currantwell/policies.py
@@ -91,6 +91,10 @@
 class Ordering(Protocol):
     """Orders the waiting tasks for placement."""
 
+    def prepare(self, endpoints: Sequence[EndpointLoad]) -> None:
+        """Note the endpoints that the next candidates may be placed at."""
+        ...
+
     def add(self, tasks: Sequence[WaitingTask], now_s: float) -> None:
         """Add tasks of one job."""
         ...
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -258,6 +258,7 @@
         preset = self._presets.preset()
         ordered = sorted(self._endpoints.values(), key=_negative_speed)
         self._update_limits(ordered, now_s)
+        self._policies.ordering.prepare(ordered)
         return self._match(ordered, preset, now_s)
 
     def attempt_ended(
--- a/currantwell/target_time_ordering.py
+++ b/currantwell/target_time_ordering.py
@@ -1,11 +1,12 @@
-"""Orders jobs by whether they can still meet their target completion time.
+"""Orders jobs by whether they can still meet their deadline and their target.
 
-Jobs that only a fast endpoint ends by their deadline come first, and tasks that were
-moved to one: they take few endpoints, and those that they leave suit the other jobs.
+Jobs that most endpoints may end too late for their deadline come first: each delay adds
+to the endpoints that are too slow for them, while the others can still be served by
+any. So do tasks that were moved to a faster endpoint, and jobs most of which is done:
+little of the capacity is left to spend on them, and all that was spent is lost if they
+fail. Of all these, what was begun is completed first.
 
-Of the others, jobs that can still meet their target come before those that can't. A
-late job most of which is done counts as one that can: little of the capacity is left to
-spend on it, and all that was spent is lost if it fails.
+Of the others, jobs that can still meet their target come before those that can't.
 Within both, jobs that have started tasks come first, since the work already done is
 lost when such a job fails. Ties are broken by the rank by arrival and size of
 `ordering`.
@@ -14,7 +15,8 @@
 import math
 from collections.abc import Iterable, Sequence
 
-from .deadline_speed import USUAL_SPEED, speed_for_deadline
+from .deadline_speed import speed_for_deadline, usual_speed
+from .endpoint_load import EndpointLoad
 from .ids import JobId
 from .ordering import RANK_STRETCH, RankedJob, size_of
 from .scheduler_types import QueuedJob, WaitingTask
@@ -22,7 +24,7 @@
 __all__ = ["TargetTimeOrdering"]
 
 # Of a job of which less waits, more is lost than won by starting another one.
-NEARLY_DONE_SHARE = 0.5
+NEARLY_DONE_SHARE = 0.6
 
 
 class _TargetedJob:
@@ -36,29 +38,39 @@
         self.deadline_s = task.deadline_s
         self.moved = task.moved
 
-    def key(self, now_s: float) -> tuple[bool, bool, bool, float]:
-        """Return the sort key; the job with the lowest key starts first."""
+    def key(self, usual: float, now_s: float) -> tuple[bool, bool, bool, float]:
+        """Return the sort key; the job with the lowest key starts first.
+
+        Parameters
+        ----------
+        usual : float
+            Speed that half of the endpoints have at least.
+        now_s : float
+            Current time on the runtime's clock.
+        """
         estimates = self.estimates
         if estimates is None:
             return True, False, False, self.job.rank
-        late = now_s + estimates.longest_s > estimates.target_completion_s
+        started = bool(estimates.expected_end_s)
         nearly_done = estimates.work_s < NEARLY_DONE_SHARE * estimates.total_s
-        return (
-            not self._needs_fast_endpoint(estimates, now_s),
-            late and not nearly_done,
-            not estimates.expected_end_s,
-            self.job.rank,
-        )
+        if (started and nearly_done) or self._needs_fast_endpoint(
+            estimates, usual, now_s
+        ):
+            return False, not self.moved, not started, self.job.rank
+        late = now_s + estimates.longest_s > estimates.target_completion_s
+        return True, late and not nearly_done, not started, self.job.rank
 
-    def _needs_fast_endpoint(self, estimates: QueuedJob, now_s: float) -> bool:
-        """Return whether an endpoint of the usual speed is too slow for the deadline.
+    def _needs_fast_endpoint(
+        self, estimates: QueuedJob, usual: float, now_s: float
+    ) -> bool:
+        """Return whether an endpoint of the usual speed may be too slow.
 
         A job whose deadline no endpoint can meet does not need one.
         """
         if self.moved:
             return True
         speed = speed_for_deadline(estimates.longest_s, self.deadline_s, now_s)
-        return USUAL_SPEED < speed < math.inf
+        return usual < speed < math.inf
 
 
 class TargetTimeOrdering:
@@ -75,6 +87,13 @@
         self._jobs: dict[JobId, list[_TargetedJob]] = {}
         self._slots = 1
         self._sequence = 0
+        self._usual_speed = usual_speed([])
+
+    def prepare(self, endpoints: Sequence[EndpointLoad]) -> None:
+        """Note the endpoints that the next candidates may be placed at."""
+        self._usual_speed = usual_speed(
+            [load.speed for load in endpoints if load.usable()]
+        )
 
     def add(self, tasks: Sequence[WaitingTask], now_s: float) -> None:
         """Add tasks of one job."""
@@ -89,7 +108,7 @@
         """Yield tasks in the order in which they are to start."""
         self._slots = max(1, slots)
         waiting = [targeted for jobs in self._jobs.values() for targeted in jobs]
-        waiting.sort(key=lambda targeted: targeted.key(now_s))
+        waiting.sort(key=lambda targeted: targeted.key(self._usual_speed, now_s))
         for targeted in waiting:
             yield from targeted.job.candidates()
 
--- a/tests/test_target_time_ordering.py
+++ b/tests/test_target_time_ordering.py
@@ -6,8 +6,10 @@
 from currantwell.scheduler_types import QueuedJob, WaitingTask
 from currantwell.submission import TaskSpec
 from currantwell.target_time_ordering import TargetTimeOrdering
+from tests.builders import endpoint_load
 
 TEAM = Team("crew")
+SPEEDS = (1.5, 0.75, 0.75, 0.75)
 
 
 def a_job(
@@ -49,8 +51,9 @@
     ]
 
 
-def order(*jobs, now_s=1.0):
+def order(*jobs, now_s=1.0, endpoints=()):
     ordering = TargetTimeOrdering()
+    ordering.prepare(endpoints)
     for tasks in jobs:
         ordering.add(tasks, 0.0)
     return [task.job for task in ordering.candidates(8, now_s)]
@@ -94,6 +97,20 @@
     assert order(a_job("small"), hopeless) == ["small", "hopeless"]
 
 
+def test_a_job_that_most_endpoints_may_end_too_late_does_not_wait_behind_small_ones():
+    """The largest jobs waited until only few endpoints could end them in time."""
+    large = a_job("large", estimate_s=0.8, deadline_s=2.4)
+    slow = [endpoint_load(f"e{index}", speed) for index, speed in enumerate(SPEEDS)]
+    assert order(a_job("small"), large) == ["small", "large"]
+    assert order(a_job("small"), large, endpoints=slow) == ["large", "small"]
+
+
+def test_a_job_most_of_which_is_done_comes_before_one_that_needs_a_fast_endpoint():
+    old = a_job("old", target_completion_s=1.0, expected_end_s=1.3, total_s=0.3)
+    large = a_job("large", estimate_s=1.0, deadline_s=2.4)
+    assert order(large, old) == ["old", "large"]
+
+
 def test_a_moved_task_comes_first():
     moved = a_job("moved", estimate_s=1.0, moved=True)
     assert order(a_job("old", expected_end_s=1.3), moved) == ["moved", "old"]
