Wait for a fast endpoint only if it will be free in time

A small group has two fast endpoints for four tasks. The others of a job of eight waited for as long as a fast endpoint would end them if it were free, though their siblings held all of them for longer, and then started on slow ones, too late (job_part_ended: waits of 0.674 and 0.666 s).

Change: a task waits beyond the bounded time only if the first running task of a fastest endpoint ends, by its estimate, early enough. The new test was red before.

--- a/currantwell/placement.py
+++ b/currantwell/placement.py
@@ -7,7 +7,8 @@
 
 A task whose caller waits for the answer does not start on an endpoint that is unlikely
 to end it by the deadline while a faster one is busy: it waits for that one, for a
-bounded time, or for as long as only that one is expected to end it in time.
+bounded time, or for as long as only that one is expected to end it in time, given when
+the first task there ends.
 
 Fast endpoints that are nearly all busy are left to the tasks that need them: other
 tasks go to slower ones that end them by their job's target.
@@ -167,12 +168,11 @@
         if not self._wait_faster:
             return False
         left_s = task.deadline_s - now_s - CALLS_S
-        if (
-            fastest_free.speed * left_s
-            < task.estimate_s
-            <= self._fastest_speed * left_s
-        ):
-            return True
+        if fastest_free.speed * left_s < task.estimate_s:
+            free_at_s = min(map(_free_at_s, self._fastest), default=math.inf)
+            wait_s = max(0.0, free_at_s - now_s)
+            if task.estimate_s <= self._fastest_speed * (left_s - wait_s):
+                return True
         if self._fastest_speed < speed:
             return False
         if task.waits_for_faster_since_s is None:
@@ -216,6 +216,17 @@
         self._mean_run_s += deviation_s / MEAN_RUN_WINDOW_TASKS
 
 
+def _free_at_s(load: EndpointLoad) -> float:
+    """Return when the first of an endpoint's running tasks is expected to end."""
+    return min(
+        (
+            running.started_s + running.estimate_s / load.speed
+            for running in load.running.values()
+        ),
+        default=0.0,
+    )
+
+
 def _deadline_speed(task: WaitingTask, fastest: float, now_s: float) -> float:
     """Return the speed that makes a task as safe from its deadline as it can be.
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -77,6 +77,20 @@
     assert choose(loads, task, loads[1:], preset, now_s=0.85).endpoint is loads[1]
 
 
+def test_a_task_does_not_wait_for_an_endpoint_that_will_be_free_too_late(loads):
+    """Tasks of wide jobs waited for the fast endpoints that their siblings held."""
+    preset = msgspec.structs.replace(ORDINARY, wait_faster_s=0.0)
+    task = waited_for(waiting_task(estimate_s=1.1), deadline_s=1.4)
+    for estimate_s, endpoint in ((0.9, None), (1.2, loads[1])):
+        sibling = waiting_task(task=1, estimate_s=estimate_s)
+        sibling.started_s = 0.25
+        loads[0].add_running(AttemptRef("job", 1, 1), sibling)
+        choose(loads, task, loads[1:], preset)
+        late = choose(loads, task, loads[1:], preset, now_s=0.35)
+        assert late.endpoint is endpoint
+        loads[0].remove_running(AttemptRef("job", 1, 1))
+
+
 def test_a_task_that_a_slow_endpoint_may_end_in_time_waits_for_a_bounded_time(loads):
     preset = msgspec.structs.replace(ORDINARY, wait_faster_s=0.0)
     task = waited_for(waiting_task(estimate_s=1.0), deadline_s=1.4)
