--- a/currantwell/placement.py
+++ b/currantwell/placement.py
@@ -112,8 +112,9 @@
         deadline_speed = _deadline_speed(task, self._fastest_speed, now_s)
         if self._use_slack:
             speed = self._speed_by_job_end(task, now_s)
-            if self._fastest_are_scarce(task):
-                speed = min(speed, self._speed_by_target(task, now_s))
+            speed_by_target = self._speed_by_target(task, now_s)
+            if speed_by_target < speed and self._fastest_are_scarce(task):
+                speed = speed_by_target
             slowest = _slowest(candidates, max(speed, deadline_speed))
             if slowest is not None:
                 return Choice(slowest, Reason.SLACK)
--- a/currantwell/scheduler.py
+++ b/currantwell/scheduler.py
@@ -502,22 +502,16 @@
         their estimates, the work of the others.
         """
         shown_s = self._progress.run_times_s(job)
+        alike_s: dict[RunTimeClass, list[float]] = {}
+        for index, run_s in shown_s.items():
+            alike_s.setdefault(run_time_class(tasks[index]), []).append(run_s)
+        usual_s = {alike: statistics.median(times) for alike, times in alike_s.items()}
         total_core_s = 0.0
         for index, spec in enumerate(tasks):
-            run_s = shown_s.get(index)
-            if run_s is None:
-                alike = [
-                    shown_s[other]
-                    for other, other_spec in enumerate(tasks)
-                    if other in shown_s
-                    and run_time_class(other_spec) == run_time_class(spec)
-                ]
-                run_s = (
-                    statistics.median(alike)
-                    if alike
-                    else self._policies.estimates.estimate_s(spec.kind, spec.run_time_s)
-                )
-            total_core_s += run_s * spec.processors
+            task_s = shown_s.get(index, usual_s.get(run_time_class(spec)))
+            if task_s is None:
+                task_s = self._policies.estimates.estimate_s(spec.kind, spec.run_time_s)
+            total_core_s += task_s * spec.processors
         return total_core_s
 
     def forget_progress(self, job: JobId) -> None:
