--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins_2 import (  # noqa: E402
+from standins_2 import (
     CATCH_UP_S,
     CannotRun,
     Deployment,
